--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,272 @@
+//! What goes into the rules and what comes out: plain data, no decisions. Times are whole microseconds.
+
+pub type Micros = u64;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PacketId(pub u32);
+
+/// Four bytes of address and a port, as the front end names the target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TargetId {
+    pub address: [u8; 4],
+    pub port: u16,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct DestinationId(pub u16);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ProfileId(pub u16);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct KindId(pub u16);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ZoneId(pub u16);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TenantId(pub u32);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct OrderKey(pub u64);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Token(pub u32);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One line of the list of targets.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listing {
+    pub target: TargetId,
+    pub zone: ZoneId,
+    pub since: Micros,
+    pub standing: Standing,
+    /// Calls a second that the destination takes from all forwarders together, as far as the list knows.
+    pub rate: f32,
+    pub destination: DestinationId,
+    pub kind: KindId,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum ListNews {
+    /// Only what changed.
+    Changes(Vec<Listing>),
+    /// Everything there is; what is missing is gone.
+    Whole(Vec<Listing>),
+    /// Everything as last held, perhaps outdated.
+    Cached(Vec<Listing>),
+    Failed,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Arrival {
+    pub id: PacketId,
+    pub profile: ProfileId,
+    pub tenant: TenantId,
+    pub key: Option<OrderKey>,
+    /// How long the packet may still be delivered.
+    pub left: Micros,
+    pub hint: Option<Micros>,
+    pub destination: DestinationId,
+    pub again: bool,
+    pub write: bool,
+    pub orphan: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Delivered,
+    /// The destination answered with an error.
+    Error,
+    /// Turned away unseen, with the wait it asked for.
+    Full {
+        wait: Option<Micros>,
+    },
+    Timeout,
+    NoConnection,
+    /// The connection broke while the trip was out.
+    Reset,
+    CalledOff,
+    /// Not sent at all.
+    Moot {
+        no_slot: bool,
+    },
+}
+
+impl Outcome {
+    /// Whether this outcome leaves open that the packet took effect.
+    pub fn may_have_run(self) -> bool {
+        matches!(self, Outcome::Delivered | Outcome::Error | Outcome::Timeout | Outcome::Reset | Outcome::CalledOff)
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    List(ListNews),
+    Packet(Arrival),
+    /// A streamed answer has begun.
+    TripBegun {
+        id: PacketId,
+        trip: u8,
+        target: TargetId,
+        took: Micros,
+    },
+    TripEnded {
+        id: PacketId,
+        trip: u8,
+        target: TargetId,
+        outcome: Outcome,
+        took: Micros,
+        /// The packet is over and needs no further answer.
+        closed: bool,
+        report: Vec<f32>,
+    },
+    /// Nobody wants the packet any more.
+    Withdrawn {
+        id: PacketId,
+    },
+    Alarm {
+        token: Token,
+    },
+    Neighbour {
+        from: u16,
+        note: Vec<u8>,
+    },
+    ProbeAnswered {
+        target: TargetId,
+        outcome: Outcome,
+        took: Micros,
+        report: Vec<f32>,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Sends the packet on its next trip; `limit` is its time-out, none for as long as the packet lives.
+    Send { id: PacketId, target: TargetId, limit: Option<Micros> },
+    WriteOff { id: PacketId },
+    Defer { id: PacketId, come_back: Option<Micros> },
+    Wake { after: Micros, token: Token },
+    Probe { target: TargetId },
+    CallOff { id: PacketId, trip: u8 },
+    CloseIdle { target: TargetId },
+    Watch { on: bool },
+    FetchList,
+    Tell { neighbour: Option<u16>, note: Vec<u8> },
+    Log(String),
+    Fault(String),
+}
+
+/// Whether a packet of a profile may run more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// May run again.
+    Retriable,
+    /// Carries a mark by which the targets of the group know a repeat, for so long.
+    Fingerprinted { group: RepeatGroup, window: Micros },
+    /// Must never run twice.
+    Binding,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepeatGroup {
+    /// All targets of the destination.
+    All,
+    /// Those of one zone.
+    Zone,
+    /// Only the very target.
+    Target,
+}
+
+/// How worth falls after the contract time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fading {
+    /// Evenly, down to the late share at expiry.
+    Evenly,
+    /// By half with each further contract time, not under the late share.
+    Halving,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct ProfileTerms {
+    pub name: String,
+    pub effect: Effect,
+    pub contract_time: Micros,
+    pub expiry: Micros,
+    pub importance: f64,
+    pub late_share: f64,
+    pub in_order: bool,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct TenantTerms {
+    pub name: String,
+    /// Packets a second within its share, for all forwarders together.
+    pub quota: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct KindTerms {
+    /// Targets of one destination are routes apart, each with its own limit, pace and outages.
+    pub routes_apart: bool,
+    /// Packets in one call at most.
+    pub per_call: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListRates {
+    Untold,
+    Nominal,
+    /// Up to half too high or too low.
+    Rough,
+}
+
+/// The figures of the rules.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RuleTerms {
+    pub answer_slack: Micros,
+    pub drain_grace: Micros,
+    pub cold_from: f64,
+    pub warm_after: Micros,
+    pub fall_multiple: f64,
+    pub overload_for: Micros,
+    pub order_pause: Micros,
+}
+
+/// What a forwarder is told at its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TermsOfCarriage {
+    pub forwarder: u16,
+    pub forwarders: u32,
+    /// Calls out at once.
+    pub slots: u32,
+    /// Packets held at once.
+    pub room: u32,
+    pub max_trips: u32,
+    pub may_probe: bool,
+    pub may_call_off: bool,
+    pub may_say_when: bool,
+    /// The longest return time that clients follow.
+    pub longest_return: Micros,
+    pub list_rates: ListRates,
+    pub fading: Fading,
+    pub over_share_worth: f64,
+    pub profiles: Vec<ProfileTerms>,
+    pub tenants: Vec<TenantTerms>,
+    pub kinds: Vec<KindTerms>,
+    /// For each zone, the fee of a packet that a route apart there takes on.
+    pub zone_fees: Vec<f64>,
+    /// Place in a report of the share of the allowance that is left, and of the limit in calls a second.
+    pub report_left: Option<usize>,
+    pub report_limit: Option<usize>,
+    pub list_must_be_asked: bool,
+    pub rules: RuleTerms,
+    /// The shortest time between two rounds.
+    pub round: Micros,
+}
--- /dev/null
+++ b/src/rules.rs
@@ -0,0 +1,1 @@
+pub struct Forwarder;
