--- /dev/null
+++ b/crates/simhost/src/host.rs
@@ -0,0 +1,141 @@
+//! The instances of this process, and the records that reach them.
+
+use crate::start;
+use crate::wire::{records, BatchHead, Fields, Reply, WireError};
+use opalpulley::{Action, Event, Forwarder, ListNews, Listing, Micros, PacketId, Token};
+use std::collections::BTreeMap;
+
+const LISTS: u32 = 16;
+
+#[derive(Default)]
+pub struct Host {
+    instances: BTreeMap<u16, Forwarder>,
+    lists: BTreeMap<u32, Vec<Listing>>,
+    actions: Vec<Action>,
+    reply: Reply,
+}
+
+impl Host {
+    /// Plays one batch and gives the frame that answers it.
+    pub fn answer(&mut self, head: BatchHead, body: &[u8]) -> Result<Vec<u8>, WireError> {
+        self.reply.clear();
+        for (code, offset, bytes) in records(head, body)? {
+            self.record(head.clock, code, offset, bytes)?;
+        }
+        self.reply.frame(head.number)
+    }
+
+    fn record(&mut self, now: Micros, code: u16, offset: usize, bytes: &[u8]) -> Result<(), WireError> {
+        let Some(name) = name_of(code) else { return Ok(()) };
+        let mut fields = Fields::new(name, offset, bytes);
+        if code == 11 {
+            let number = fields.u32()?;
+            if number >= LISTS {
+                return Err(fields.bad(format!("there is no list {number}")));
+            }
+            let entries = fields.listings()?;
+            self.lists.insert(number, entries);
+            return Ok(());
+        }
+        let instance = fields.u16()?;
+        if code == 10 {
+            let seed = fields.u64()?;
+            let n = fields.u32()? as usize;
+            let terms = start::read(fields.take(n)?).map_err(|e| fields.bad(e))?;
+            self.instances.insert(instance, Forwarder::new(terms, seed));
+            return Ok(());
+        }
+        if !self.instances.contains_key(&instance) {
+            return Err(fields.bad(format!("instance {instance} was never started")));
+        }
+        let event = match code {
+            5 => {
+                self.instances.remove(&instance);
+                return Ok(());
+            }
+            1 => Event::List(self.list_news(&mut fields)?),
+            9 => Event::Packet(fields.arrival()?),
+            7 => Event::TripBegun {
+                id: PacketId(fields.u32()?),
+                trip: fields.u8()?,
+                target: fields.target()?,
+                took: fields.u32()?.into(),
+            },
+            8 => Event::Withdrawn { id: PacketId(fields.u32()?) },
+            3 => Event::Alarm { token: Token(fields.u32()?) },
+            6 => {
+                let from = fields.u16()?;
+                let n = fields.u16()?;
+                Event::Neighbour { from, note: fields.take(n.into())?.to_vec() }
+            }
+            2 => {
+                let target = fields.target()?;
+                let status = fields.u16()?;
+                Event::ProbeAnswered {
+                    target,
+                    outcome: fields.outcome(status, 0)?,
+                    took: fields.u32()?.into(),
+                    report: fields.report()?,
+                }
+            }
+            _ => trip_ended(&mut fields)?,
+        };
+        if let Some(forwarder) = self.instances.get_mut(&instance) {
+            forwarder.handle(now, event, &mut self.actions);
+        }
+        for action in self.actions.drain(..) {
+            self.reply.push(instance, &action)?;
+        }
+        Ok(())
+    }
+
+    fn list_news(&self, fields: &mut Fields) -> Result<ListNews, WireError> {
+        let number = fields.u32()?;
+        let kind = fields.u8()?;
+        let entries = || {
+            self.lists
+                .get(&number)
+                .cloned()
+                .ok_or_else(|| fields.bad(format!("list {number} was never registered")))
+        };
+        match kind {
+            1 => Ok(ListNews::Failed),
+            2 => Ok(ListNews::Cached(entries()?)),
+            3 => Ok(ListNews::Whole(entries()?)),
+            4 => Ok(ListNews::Changes(entries()?)),
+            other => Err(fields.bad(format!("no list has the kind {other}"))),
+        }
+    }
+}
+
+fn trip_ended(fields: &mut Fields) -> Result<Event, WireError> {
+    let id = PacketId(fields.u32()?);
+    let trip = fields.u8()?;
+    let target = fields.target()?;
+    let status = fields.u16()?;
+    let took = fields.u32()?.into();
+    let closed = fields.u8()? != 0;
+    let remark = fields.u32()?;
+    let outcome = fields.outcome(status, remark)?;
+    Ok(Event::TripEnded { id, trip, target, outcome, took, closed, report: fields.report()? })
+}
+
+fn name_of(code: u16) -> Option<&'static str> {
+    Some(match code {
+        1 => "Targets",
+        2 => "Echo",
+        3 => "Due",
+        4 => "Result",
+        5 => "Teardown",
+        6 => "NeighbourSays",
+        7 => "Accepted",
+        8 => "Vanished",
+        9 => "Incoming",
+        10 => "Start",
+        11 => "Register",
+        _ => return None,
+    })
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/simhost/src/start.rs
@@ -0,0 +1,220 @@
+//! The start text: JSON to terms. Unknown keys are skipped.
+
+use opalpulley::{
+    Effect, Fading, KindTerms, ListRates, Micros, ProfileTerms, RepeatGroup, RuleTerms, TenantTerms,
+    TermsOfCarriage,
+};
+use serde::Deserialize;
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Start {
+    #[serde(default)]
+    accounts: Vec<Account>,
+    balancers: u32,
+    domain: Domain,
+    host_types: Vec<String>,
+    limits: Limits,
+    #[serde(default)]
+    load_report: LoadReport,
+    me: u16,
+    #[serde(default)]
+    membership_mode: Membership,
+    #[serde(default)]
+    over_share_worth: f64,
+    profiles: Vec<Profile>,
+    quantum_us: Micros,
+    rules: Rules,
+    weights: Weights,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Account {
+    #[serde(default)]
+    name: String,
+    quota_per_s: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Domain {
+    fades: Fades,
+    #[serde(default)]
+    per_call: Vec<u32>,
+    #[serde(default)]
+    routes_apart: Vec<bool>,
+    workers: u32,
+    #[serde(default)]
+    zone_fee: Vec<f64>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Fades {
+    Linear,
+    Halving,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Limits {
+    #[serde(default)]
+    cancelling: bool,
+    max_attempts: u32,
+    max_open: u32,
+    #[serde(default)]
+    max_retry_after_us: Micros,
+    #[serde(default)]
+    probing: bool,
+    #[serde(default)]
+    retry_after: bool,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "PascalCase")]
+struct LoadReport {
+    #[serde(default)]
+    names: Vec<String>,
+}
+
+#[derive(Deserialize, Default, PartialEq)]
+#[serde(rename_all = "snake_case")]
+enum Membership {
+    #[default]
+    Pushed,
+    OnRequest,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Weights {
+    Off,
+    Nominal,
+    Rough,
+    Live,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Profile {
+    #[serde(default)]
+    name: String,
+    effect: ProfileEffect,
+    #[serde(default)]
+    group: Group,
+    #[serde(default)]
+    dedup_window_us: Micros,
+    goal_time_us: Micros,
+    hard_limit_us: Micros,
+    #[serde(default)]
+    late_share: f64,
+    points: f64,
+    #[serde(default)]
+    serial_by_key: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum ProfileEffect {
+    Free,
+    Guarded,
+    SingleShot,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "snake_case")]
+enum Group {
+    #[default]
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Rules {
+    answer_slack_us: Micros,
+    cold_from: f64,
+    drain_grace_us: Micros,
+    fall_multiple: f64,
+    overload_for_us: Micros,
+    warm_after_us: Micros,
+    #[serde(default)]
+    order_pause_us: Micros,
+}
+
+pub fn read(text: &[u8]) -> Result<TermsOfCarriage, String> {
+    let start: Start =
+        serde_json::from_slice(text).map_err(|e| format!("the start text is not valid: {e}"))?;
+    let place = |name: &str| start.load_report.names.iter().position(|n| n == name);
+    let kinds = (0..start.host_types.len())
+        .map(|k| KindTerms {
+            routes_apart: start.domain.routes_apart.get(k).copied().unwrap_or(false),
+            per_call: start.domain.per_call.get(k).copied().unwrap_or(1),
+        })
+        .collect();
+    Ok(TermsOfCarriage {
+        forwarder: start.me,
+        forwarders: start.balancers,
+        slots: start.domain.workers,
+        room: start.limits.max_open,
+        max_trips: start.limits.max_attempts,
+        may_probe: start.limits.probing,
+        may_call_off: start.limits.cancelling,
+        may_say_when: start.limits.retry_after,
+        longest_return: start.limits.max_retry_after_us,
+        list_rates: match start.weights {
+            Weights::Off => ListRates::Untold,
+            Weights::Nominal | Weights::Live => ListRates::Nominal,
+            Weights::Rough => ListRates::Rough,
+        },
+        fading: match start.domain.fades {
+            Fades::Linear => Fading::Evenly,
+            Fades::Halving => Fading::Halving,
+        },
+        over_share_worth: start.over_share_worth,
+        tenants: start
+            .accounts
+            .into_iter()
+            .map(|a| TenantTerms { name: a.name, quota: a.quota_per_s })
+            .collect(),
+        kinds,
+        zone_fees: start.domain.zone_fee,
+        report_left: place("x0"),
+        report_limit: place("x1"),
+        list_must_be_asked: start.membership_mode == Membership::OnRequest,
+        rules: RuleTerms {
+            answer_slack: start.rules.answer_slack_us,
+            drain_grace: start.rules.drain_grace_us,
+            cold_from: start.rules.cold_from,
+            warm_after: start.rules.warm_after_us,
+            fall_multiple: start.rules.fall_multiple,
+            overload_for: start.rules.overload_for_us,
+            order_pause: start.rules.order_pause_us,
+        },
+        round: start.quantum_us,
+        profiles: start.profiles.into_iter().map(profile).collect(),
+    })
+}
+
+fn profile(p: Profile) -> ProfileTerms {
+    let group = match p.group {
+        Group::All => RepeatGroup::All,
+        Group::Zone => RepeatGroup::Zone,
+        Group::Cell => RepeatGroup::Destination,
+    };
+    ProfileTerms {
+        name: p.name,
+        effect: match p.effect {
+            ProfileEffect::Free => Effect::Retriable,
+            ProfileEffect::Guarded => Effect::Fingerprinted { group, window: p.dedup_window_us },
+            ProfileEffect::SingleShot => Effect::Binding,
+        },
+        contract_time: p.goal_time_us,
+        expiry: p.hard_limit_us,
+        importance: p.points,
+        late_share: p.late_share,
+        in_order: p.serial_by_key,
+    }
+}
--- /dev/null
+++ b/crates/simhost/src/wire.rs
@@ -0,0 +1,332 @@
+//! The simulator's frames and records. Translation only.
+
+use opalpulley::{
+    Action, Arrival, DestinationId, KindId, Listing, Micros, OrderKey, Outcome, PacketId, ProfileId,
+    Standing, TargetId, TenantId, Token, ZoneId,
+};
+use std::fmt;
+use std::io::{self, Read};
+
+const BATCH_HEADER: usize = 20;
+const REPLY_HEADER: usize = 12;
+const LISTING_BYTES: usize = 25;
+const EVERY_NEIGHBOUR: u32 = u32::MAX;
+
+#[derive(Debug)]
+pub enum WireError {
+    Io(io::Error),
+    CutOff { what: &'static str, wanted: usize, got: usize },
+    Record { record: &'static str, offset: usize, problem: String },
+}
+
+impl fmt::Display for WireError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            WireError::Io(e) => write!(f, "cannot read or write the wire: {e}"),
+            WireError::CutOff { what, wanted, got } => {
+                write!(f, "input ends inside a {what}: {wanted} bytes wanted, {got} there")
+            }
+            WireError::Record { record, offset, problem } => {
+                write!(f, "{record} at byte {offset} of the batch: {problem}")
+            }
+        }
+    }
+}
+
+impl std::error::Error for WireError {}
+
+impl From<io::Error> for WireError {
+    fn from(e: io::Error) -> Self {
+        WireError::Io(e)
+    }
+}
+
+#[derive(Debug, PartialEq, Eq, Clone, Copy)]
+pub struct BatchHead {
+    pub records: u32,
+    pub bytes: u32,
+    pub clock: Micros,
+    pub number: u32,
+}
+
+fn fill(input: &mut impl Read, limit: usize, into: &mut Vec<u8>) -> io::Result<usize> {
+    into.clear();
+    input.by_ref().take(limit as u64).read_to_end(into)
+}
+
+/// Reads one batch into `body`; `None` at a clean end of input.
+pub fn read_batch(input: &mut impl Read, body: &mut Vec<u8>) -> Result<Option<BatchHead>, WireError> {
+    let got = fill(input, BATCH_HEADER, body)?;
+    if got == 0 {
+        return Ok(None);
+    }
+    if got < BATCH_HEADER {
+        return Err(WireError::CutOff { what: "batch header", wanted: BATCH_HEADER, got });
+    }
+    let mut fields = Fields::new("batch header", 0, body);
+    let head = BatchHead {
+        records: fields.u32()?,
+        bytes: fields.u32()?,
+        clock: fields.u64()?,
+        number: fields.u32()?,
+    };
+    let wanted = head.bytes as usize;
+    let got = fill(input, wanted, body)?;
+    if got < wanted {
+        return Err(WireError::CutOff { what: "batch", wanted, got });
+    }
+    Ok(Some(head))
+}
+
+/// The bytes of one record, read field by field.
+pub struct Fields<'a> {
+    record: &'static str,
+    offset: usize,
+    bytes: &'a [u8],
+    at: usize,
+}
+
+impl<'a> Fields<'a> {
+    pub fn new(record: &'static str, offset: usize, bytes: &'a [u8]) -> Self {
+        Fields { record, offset, bytes, at: 0 }
+    }
+
+    pub fn bad(&self, problem: impl Into<String>) -> WireError {
+        WireError::Record { record: self.record, offset: self.offset, problem: problem.into() }
+    }
+
+    pub fn take(&mut self, n: usize) -> Result<&'a [u8], WireError> {
+        let left = &self.bytes[self.at..];
+        if left.len() < n {
+            return Err(self.bad(format!("{n} bytes wanted at its byte {}, {} there", self.at, left.len())));
+        }
+        self.at += n;
+        Ok(&left[..n])
+    }
+
+    fn array<const N: usize>(&mut self) -> Result<[u8; N], WireError> {
+        let mut out = [0; N];
+        out.copy_from_slice(self.take(N)?);
+        Ok(out)
+    }
+
+    pub fn u8(&mut self) -> Result<u8, WireError> {
+        Ok(u8::from_le_bytes(self.array()?))
+    }
+
+    pub fn u16(&mut self) -> Result<u16, WireError> {
+        Ok(u16::from_le_bytes(self.array()?))
+    }
+
+    pub fn u32(&mut self) -> Result<u32, WireError> {
+        Ok(u32::from_le_bytes(self.array()?))
+    }
+
+    pub fn u64(&mut self) -> Result<u64, WireError> {
+        Ok(u64::from_le_bytes(self.array()?))
+    }
+
+    pub fn f32(&mut self) -> Result<f32, WireError> {
+        Ok(f32::from_le_bytes(self.array()?))
+    }
+
+    pub fn target(&mut self) -> Result<TargetId, WireError> {
+        Ok(TargetId { address: self.array()?, port: self.u16()? })
+    }
+
+    pub fn report(&mut self) -> Result<Vec<f32>, WireError> {
+        let n = self.u8()?;
+        (0..n).map(|_| self.f32()).collect()
+    }
+
+    pub fn outcome(&mut self, code: u16, remark: u32) -> Result<Outcome, WireError> {
+        Ok(match code {
+            200 => Outcome::Delivered,
+            502 => Outcome::Error,
+            429 => Outcome::Full { wait: (remark > 0).then(|| Micros::from(remark) * 1000) },
+            408 => Outcome::Timeout,
+            521 => Outcome::NoConnection,
+            520 => Outcome::Reset,
+            444 => Outcome::CalledOff,
+            409 => Outcome::Moot { no_slot: remark == 1 },
+            other => return Err(self.bad(format!("no outcome has the code {other}"))),
+        })
+    }
+
+    pub fn listings(&mut self) -> Result<Vec<Listing>, WireError> {
+        let n = self.u32()? as usize;
+        if n > (self.bytes.len() - self.at) / LISTING_BYTES {
+            return Err(self.bad(format!("{n} entries announced, {} bytes left", self.bytes.len() - self.at)));
+        }
+        (0..n).map(|_| self.listing()).collect()
+    }
+
+    fn listing(&mut self) -> Result<Listing, WireError> {
+        Ok(Listing {
+            zone: ZoneId(self.u16()?),
+            target: self.target()?,
+            since: self.u64()?,
+            standing: match self.u8()? {
+                0 => Standing::Ready,
+                1 => Standing::Draining,
+                3 => Standing::Gone,
+                other => return Err(self.bad(format!("no readiness has the value {other}"))),
+            },
+            rate: self.f32()?,
+            destination: DestinationId(self.u16()?),
+            kind: KindId(self.u16()?),
+        })
+    }
+
+    pub fn arrival(&mut self) -> Result<Arrival, WireError> {
+        let id = PacketId(self.u32()?);
+        let profile = ProfileId(self.u16()?);
+        let tenant = TenantId(self.u32()?);
+        let key = self.u64()?;
+        let left = Micros::from(self.u32()?);
+        let hint = Micros::from(self.u32()?);
+        let dest = self.f32()?;
+        if dest.fract() != 0.0 || !(0.0..=f32::from(u16::MAX)).contains(&dest) {
+            return Err(self.bad(format!("{dest} is no number of a destination")));
+        }
+        let bits = self.u8()?;
+        Ok(Arrival {
+            id,
+            profile,
+            tenant,
+            key: (key != 0).then_some(OrderKey(key)),
+            left,
+            hint: (bits & 1 != 0).then_some(hint),
+            destination: DestinationId(dest as u16),
+            again: bits & 2 != 0,
+            write: bits & 4 != 0,
+            orphan: bits & 16 != 0,
+        })
+    }
+}
+
+/// The records of a batch, in order: code, offset and bytes of the fields.
+pub fn records(head: BatchHead, body: &[u8]) -> Result<Vec<(u16, usize, &[u8])>, WireError> {
+    let mut out = Vec::new();
+    let mut rest = Fields::new("record", 0, body);
+    for _ in 0..head.records {
+        rest.offset = rest.at;
+        let code = rest.u16()?;
+        let len = rest.u32()? as usize;
+        let start = rest.offset;
+        out.push((code, start, rest.take(len)?));
+    }
+    if rest.at != body.len() {
+        return Err(rest.bad(format!("{} bytes follow the last record", body.len() - rest.at)));
+    }
+    Ok(out)
+}
+
+/// A reply being built.
+#[derive(Default)]
+pub struct Reply {
+    body: Vec<u8>,
+    records: u32,
+}
+
+impl Reply {
+    pub fn clear(&mut self) {
+        self.body.clear();
+        self.records = 0;
+    }
+
+    pub fn frame(&self, number: u32) -> Result<Vec<u8>, WireError> {
+        let mut out = Vec::with_capacity(REPLY_HEADER + self.body.len());
+        out.extend(narrow("reply", self.body.len() as u64)?.to_le_bytes());
+        out.extend(self.records.to_le_bytes());
+        out.extend(number.to_le_bytes());
+        out.extend(&self.body);
+        Ok(out)
+    }
+
+    pub fn push(&mut self, instance: u16, action: &Action) -> Result<(), WireError> {
+        let mut fields = instance.to_le_bytes().to_vec();
+        let code: u16 = match action {
+            Action::Send { id, target, limit } => {
+                fields.extend(id.0.to_le_bytes());
+                put_target(&mut fields, *target);
+                fields.extend(narrow("Relay", limit.unwrap_or(0))?.to_le_bytes());
+                66
+            }
+            Action::WriteOff { id } => {
+                fields.extend(id.0.to_le_bytes());
+                72
+            }
+            Action::Defer { id, come_back } => {
+                fields.extend(id.0.to_le_bytes());
+                fields.extend(narrow("Reject", come_back.unwrap_or(0))?.to_le_bytes());
+                75
+            }
+            Action::Wake { after, token: Token(token) } => {
+                fields.extend(narrow("NotifyMe", *after)?.to_le_bytes());
+                fields.extend(token.to_le_bytes());
+                73
+            }
+            Action::Probe { target } => {
+                put_target(&mut fields, *target);
+                76
+            }
+            Action::CallOff { id, trip } => {
+                fields.extend(id.0.to_le_bytes());
+                fields.push(*trip);
+                68
+            }
+            Action::CloseIdle { target } => {
+                put_target(&mut fields, *target);
+                69
+            }
+            Action::Watch { on } => {
+                fields.push(u8::from(*on));
+                67
+            }
+            Action::FetchList => 74,
+            Action::Tell { neighbour, note } => {
+                fields.extend(neighbour.map_or(EVERY_NEIGHBOUR, u32::from).to_le_bytes());
+                put_bytes("Notify", &mut fields, note)?;
+                65
+            }
+            Action::Log(words) => {
+                put_bytes("Log", &mut fields, words.as_bytes())?;
+                70
+            }
+            Action::Fault(words) => {
+                put_bytes("Fatal", &mut fields, words.as_bytes())?;
+                71
+            }
+        };
+        self.body.extend(code.to_le_bytes());
+        self.body.extend(narrow("action", fields.len() as u64)?.to_le_bytes());
+        self.body.extend(fields);
+        self.records += 1;
+        Ok(())
+    }
+}
+
+fn narrow(record: &'static str, value: u64) -> Result<u32, WireError> {
+    u32::try_from(value).map_err(|_| WireError::Record {
+        record,
+        offset: 0,
+        problem: format!("{value} does not fit the wire"),
+    })
+}
+
+fn put_target(out: &mut Vec<u8>, target: TargetId) {
+    out.extend(target.address);
+    out.extend(target.port.to_le_bytes());
+}
+
+fn put_bytes(record: &'static str, out: &mut Vec<u8>, bytes: &[u8]) -> Result<(), WireError> {
+    let n = u16::try_from(bytes.len()).map_err(|_| WireError::Record {
+        record,
+        offset: 0,
+        problem: format!("{} bytes do not fit one record", bytes.len()),
+    })?;
+    out.extend(n.to_le_bytes());
+    out.extend(bytes);
+    Ok(())
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -102,7 +102,10 @@
 impl Outcome {
     /// Whether this outcome leaves open that the packet took effect.
     pub fn may_have_run(self) -> bool {
-        matches!(self, Outcome::Delivered | Outcome::Error | Outcome::Timeout | Outcome::Reset | Outcome::CalledOff)
+        matches!(
+            self,
+            Outcome::Delivered | Outcome::Error | Outcome::Timeout | Outcome::Reset | Outcome::CalledOff
+        )
     }
 }
 
@@ -149,16 +152,40 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Sends the packet on its next trip; `limit` is its time-out, none for as long as the packet lives.
-    Send { id: PacketId, target: TargetId, limit: Option<Micros> },
-    WriteOff { id: PacketId },
-    Defer { id: PacketId, come_back: Option<Micros> },
-    Wake { after: Micros, token: Token },
-    Probe { target: TargetId },
-    CallOff { id: PacketId, trip: u8 },
-    CloseIdle { target: TargetId },
-    Watch { on: bool },
+    Send {
+        id: PacketId,
+        target: TargetId,
+        limit: Option<Micros>,
+    },
+    WriteOff {
+        id: PacketId,
+    },
+    Defer {
+        id: PacketId,
+        come_back: Option<Micros>,
+    },
+    Wake {
+        after: Micros,
+        token: Token,
+    },
+    Probe {
+        target: TargetId,
+    },
+    CallOff {
+        id: PacketId,
+        trip: u8,
+    },
+    CloseIdle {
+        target: TargetId,
+    },
+    Watch {
+        on: bool,
+    },
     FetchList,
-    Tell { neighbour: Option<u16>, note: Vec<u8> },
+    Tell {
+        neighbour: Option<u16>,
+        note: Vec<u8>,
+    },
     Log(String),
     Fault(String),
 }
@@ -180,8 +207,8 @@
     All,
     /// Those of one zone.
     Zone,
-    /// Only the very target.
-    Target,
+    /// Those of one destination; a deferral is not allowed then.
+    Destination,
 }
 
 /// How worth falls after the contract time.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,1 +1,1195 @@
-pub struct Forwarder;
+//! Every decision of opalpulley. A front end calls `Forwarder::new(terms, seed)` once and then
+//! `forwarder.handle(now, event, &mut actions)` for each event, in order, and carries out the actions.
+//! Events, actions, ids and the terms told at start are plain data in `src/interface.rs`.
+//!
+//! Three parts talk by notes only: the `Forwarder` (loop, packet book, slots), a `Destination` (line, cap, pace,
+//! hold) and its `Target`s (places, recent outcomes, probing, drain, cold ramp). `Post` keeps an inbox for each
+//! part and `Forwarder::settle` empties them until none holds a note.
+
+use crate::interface::*;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, VecDeque};
+
+const SECOND: f64 = 1e6;
+/// µs between two looks at all timers: small beside any trip, large beside a round's cost.
+const TICK: Micros = 10_000;
+/// µs before the first retry; the design's starting value.
+const BASE_WAIT: Micros = 100_000;
+/// Part of expiry that a retry waits at most; the design's starting value.
+const LONGEST_WAIT: f64 = 0.25;
+/// Part of a retry wait that chance adds at most; under 1, so that doubling waits still grow.
+const JITTER: f64 = 0.5;
+/// Parts of the slots that one destination may hold: while it answers well, and while it does not.
+const CAP_WELL: f64 = 0.75;
+const CAP_TROUBLED: f64 = 0.5;
+/// Part of the slots that all troubled destinations hold together, so that those that answer keep the rest.
+const CAP_ALL_TROUBLED: f64 = 0.5;
+/// Outcomes that judge a target: few enough to turn within seconds at a call a second.
+const LAST_FEW: usize = 8;
+/// Successes among them below which a target is set aside, and failures in a row that do the same sooner.
+const ASIDE_SUCCESSES: usize = 4;
+const ASIDE_ROW: u32 = 3;
+/// Failures among them that make a target troubled.
+const TROUBLED_FAILURES: usize = 2;
+/// Times its usual time to answer from which a target counts as slow.
+const SLOW: f64 = 3.0;
+/// Weight of one answer in the short and the long mean of the time to answer.
+const NEW_ANSWER: f64 = 0.125;
+const NEW_USUAL: f64 = 0.02;
+/// Mean deviations above the mean that a trip may take: answers have long tails.
+const TAIL: f64 = 8.0;
+/// µs that a target must keep still before that means anything: over any short pause.
+const SILENCE: Micros = 1_000_000;
+/// Calls at once, as a part of what the listed rate keeps busy: room for a queue of equal length.
+const PLACES: f64 = 2.0;
+/// Places of a target that has not answered yet, calls.
+const FIRST_PLACES: usize = 4;
+/// µs until a target whose connection table was full is tried with one call more.
+const TABLE_REST: Micros = 5_000_000;
+/// Pace at start, in parts of an even share of the listed rate: room for shares that are not even.
+const FIRST_PACE: f64 = 1.25;
+/// Pace after a refusal, as a part of that before; the least, as a part of an even share; µs between two cuts.
+const CUT: f64 = 0.85;
+const LEAST_PACE: f64 = 0.5;
+const CUT_REST: Micros = 500_000;
+/// Growth of the pace while it binds, listed rates a second, and the most it comes to, listed rates.
+const GROWTH: f64 = 0.08;
+const MOST_PACE: f64 = 1.2;
+/// Seconds of pace that may be sent at once after a rest.
+const BURST: f64 = 0.5;
+/// Part of the cold budget that is used: capacity is only estimated, and others estimate too.
+const COLD_MARGIN: f64 = 0.8;
+/// Calls in each overload window that a set-aside target gets at the least, else its return goes unseen.
+const COLD_FLOOR: f64 = 0.5;
+/// What each further packet of one call weighs in the cold budget, calls.
+const RIDER: f64 = 0.15;
+/// µs between two probes of one target.
+const PROBE_GAP: Micros = 500_000;
+/// Part of the room kept free, so that the door never turns work away blindly.
+const ROOM_KEPT: f64 = 0.05;
+/// Seconds of a tenant's share that may come at once before it counts as over its share.
+const SHARE_BURST: f64 = 2.0;
+/// µs that a client is asked to stay away where no hold tells better.
+const COME_BACK: Micros = 1_000_000;
+
+/// What differs by profile; filled once at start.
+struct Row {
+    effect: Effect,
+    contract_time: f64,
+    expiry: Micros,
+    importance: f64,
+    late_share: f64,
+    in_order: bool,
+}
+
+/// What every part may look at and use while it reads a note.
+struct Desk<'a> {
+    now: Micros,
+    terms: &'a TermsOfCarriage,
+    rows: &'a [Row],
+    rng: &'a mut Pcg64Mcg,
+    post: &'a mut Post,
+}
+
+impl Desk<'_> {
+    fn row(&self, profile: usize) -> &Row {
+        &self.rows[profile.min(self.rows.len() - 1)]
+    }
+    fn chance(&mut self) -> f64 {
+        self.rng.random::<f64>()
+    }
+}
+
+/// The inboxes of all parts; `Forwarder::settle` empties them within the event that filled them.
+#[derive(Default)]
+struct Post {
+    forwarder: VecDeque<ForwarderNote>,
+    destinations: VecDeque<(DestinationId, DestinationNote)>,
+    targets: VecDeque<(TargetId, TargetNote)>,
+}
+
+enum ForwarderNote {
+    Do(Action),
+    Ended { id: PacketId },
+    Unclear { key: OrderKey },
+    Bid { destination: DestinationId, gain: f64 },
+    State { destination: DestinationId, calls: usize, troubled: bool, waiting: usize },
+}
+
+enum DestinationNote {
+    Take(Packet),
+    Turn(PacketId),
+    Over { id: PacketId, outcome: Outcome, closed: bool },
+    Withdrawn(PacketId),
+    Told { target: TargetId, limit: f64 },
+    Listed { target: TargetId, rate: f64, gone: bool },
+    Card { target: TargetId, card: Card },
+    Tick,
+    Offer { free: usize, free_troubled: usize },
+    Award,
+    Shed,
+}
+
+enum TargetNote {
+    Listed { zone: ZoneId, standing: Standing, fee: f64 },
+    Board,
+    Over { sent: Micros, outcome: Outcome, took: Micros },
+    Probed { outcome: Outcome },
+    Sibling,
+    Tick { capacity: f64, held: bool },
+}
+
+/// What a destination knows of one of its targets.
+#[derive(Clone, Default)]
+struct Card {
+    zone: u16,
+    fee: f64,
+    open: usize,
+    calls: usize,
+    ready: bool,
+    aside: bool,
+    troubled: bool,
+    clean: bool,
+    answer_time: f64,
+    trip_time: f64,
+}
+
+struct Packet {
+    id: PacketId,
+    profile: usize,
+    worth: f64,
+    due: Micros,
+    expires: Micros,
+    trips: u32,
+    key: Option<OrderKey>,
+    turn: bool,
+    /// The earliest trip that may have run: when it was sent, and in which zone.
+    exposed: Option<(Micros, u16)>,
+    ready_at: Micros,
+    out: Option<(TargetId, Micros)>,
+    over: bool,
+}
+
+impl Packet {
+    /// What is left of its worth when it is delivered at `at`.
+    fn worth_at(&self, at: f64, row: &Row, fading: Fading) -> f64 {
+        let late = at - self.due as f64;
+        if at >= self.expires as f64 {
+            return 0.0;
+        }
+        if late <= 0.0 {
+            return self.worth;
+        }
+        let kept = match fading {
+            Fading::Halving => (-late / row.contract_time.max(1.0)).exp2().max(row.late_share),
+            Fading::Evenly => {
+                let span = (self.expires.saturating_sub(self.due) as f64).max(1.0);
+                1.0 - (1.0 - row.late_share) * late / span
+            }
+        };
+        self.worth * kept
+    }
+
+    /// The last moment at which a further trip is allowed.
+    fn last_send(&self, row: &Row) -> Micros {
+        match (row.effect, self.exposed) {
+            (Effect::Fingerprinted { window, .. }, Some((first, _))) => self.expires.min(first + window),
+            (Effect::Binding, Some(_)) => 0,
+            _ => self.expires,
+        }
+    }
+
+    /// What is lost by sending it later, over a look ahead of about `ahead`, rather than now.
+    fn loss(&self, now: Micros, answer_time: f64, ahead: f64, row: &Row, fading: Fading) -> f64 {
+        let last = self.last_send(row) as f64;
+        let at = |after: f64| match now as f64 + after < last {
+            true => self.worth_at(now as f64 + after + answer_time, row, fading),
+            false => 0.0,
+        };
+        at(0.0) - (at(ahead / 4.0) + at(ahead) + at(3.0 * ahead)) / 3.0
+    }
+}
+
+/// Pace and hold of a destination, or of one route where they are apart.
+struct Gate {
+    listed: f64,
+    told: Option<f64>,
+    pace: f64,
+    tokens: f64,
+    filled: Micros,
+    cut: Micros,
+    short: bool,
+    held: Micros,
+}
+
+impl Gate {
+    fn new(listed: f64, now: Micros, terms: &TermsOfCarriage) -> Gate {
+        let listed = if terms.list_rates == ListRates::Untold { 0.0 } else { listed.max(0.0) };
+        let mut gate =
+            Gate { listed, told: None, pace: 0.0, tokens: 1.0, filled: now, cut: 0, short: false, held: 0 };
+        gate.pace = FIRST_PACE * gate.even_share(terms);
+        gate
+    }
+
+    /// Calls a second that it takes from all forwarders together, as far as is known.
+    fn capacity(&self, terms: &TermsOfCarriage) -> f64 {
+        match self.told {
+            Some(limit) => limit,
+            None if self.listed > 0.0 => self.listed,
+            None => f64::from(terms.slots),
+        }
+    }
+
+    fn even_share(&self, terms: &TermsOfCarriage) -> f64 {
+        self.capacity(terms) / f64::from(terms.forwarders.max(1))
+    }
+
+    fn refill(&mut self, now: Micros, terms: &TermsOfCarriage) {
+        let passed = now.saturating_sub(self.filled) as f64 / SECOND;
+        self.filled = now;
+        if self.short && now > self.cut + 2 * CUT_REST {
+            let most = MOST_PACE * self.capacity(terms);
+            self.pace = (self.pace + GROWTH * self.capacity(terms) * passed).min(most.max(self.pace));
+        }
+        self.short = false;
+        self.tokens = (self.tokens + self.pace * passed).min((self.pace * BURST).max(1.0));
+    }
+
+    /// Guards against refusals that breed refusals: a destination over its limit gets a slower pace from us.
+    fn refused(&mut self, wait: Option<Micros>, desk: &mut Desk) {
+        self.tokens = self.tokens.min(0.0);
+        if desk.now > self.cut + CUT_REST {
+            self.cut = desk.now;
+            self.pace = (self.pace * CUT).max(LEAST_PACE * self.even_share(desk.terms));
+        }
+        if let Some(wait) = wait {
+            self.held = self.held.max(desk.now + wait);
+        }
+    }
+}
+
+struct Destination {
+    id: DestinationId,
+    apart: bool,
+    per_call: usize,
+    /// A card a target; emptied as targets go.
+    cards: BTreeMap<TargetId, Card>,
+    /// One gate, or one a route (then by target); emptied as targets go.
+    gates: BTreeMap<Option<TargetId>, Gate>,
+    /// Packets waiting or out; each leaves with its final answer.
+    packets: BTreeMap<PacketId, Packet>,
+    waiting: usize,
+    pick: Option<TargetId>,
+}
+
+impl Destination {
+    fn new(id: DestinationId, kind: Option<&KindTerms>) -> Destination {
+        Destination {
+            id,
+            apart: kind.is_some_and(|k| k.routes_apart),
+            per_call: kind.map_or(1, |k| k.per_call.max(1) as usize),
+            cards: BTreeMap::new(),
+            gates: BTreeMap::new(),
+            packets: BTreeMap::new(),
+            waiting: 0,
+            pick: None,
+        }
+    }
+
+    fn gate_of(&self, target: TargetId) -> Option<TargetId> {
+        self.apart.then_some(target)
+    }
+
+    fn read(&mut self, note: DestinationNote, desk: &mut Desk) {
+        match note {
+            DestinationNote::Take(packet) => {
+                self.packets.insert(packet.id, packet);
+            }
+            DestinationNote::Turn(id) => {
+                if let Some(packet) = self.packets.get_mut(&id) {
+                    packet.turn = true;
+                }
+            }
+            DestinationNote::Over { id, outcome, closed } => self.trip_over(id, outcome, closed, desk),
+            DestinationNote::Withdrawn(id) => match self.packets.get_mut(&id) {
+                // Its trip still runs: it keeps its turn and its place until the outcome has come.
+                Some(packet) if packet.out.is_some() => packet.over = true,
+                Some(_) => self.end(id, None, desk),
+                None => {}
+            },
+            DestinationNote::Told { target, limit } => {
+                if let Some(gate) = self.gates.get_mut(&self.gate_of(target)) {
+                    let first = gate.told.is_none();
+                    gate.told = (limit > 0.0).then_some(limit);
+                    if first && limit > 0.0 {
+                        gate.pace = FIRST_PACE * gate.even_share(desk.terms);
+                    }
+                }
+            }
+            DestinationNote::Listed { target, rate, gone } => {
+                let slot = self.gate_of(target);
+                if gone {
+                    self.cards.remove(&target);
+                    if self.apart {
+                        self.gates.remove(&slot);
+                    }
+                } else {
+                    self.cards.entry(target).or_default();
+                    let gate =
+                        self.gates.entry(slot).or_insert_with(|| Gate::new(rate, desk.now, desk.terms));
+                    if desk.terms.list_rates != ListRates::Untold {
+                        gate.listed = rate.max(0.0);
+                    }
+                }
+            }
+            DestinationNote::Card { target, card } => {
+                // One target set aside makes its siblings suspect: most outages take them all.
+                if card.aside && self.cards.get(&target).is_some_and(|old| !old.aside) && !self.apart {
+                    for sibling in self.cards.keys().filter(|t| **t != target) {
+                        desk.post.targets.push_back((*sibling, TargetNote::Sibling));
+                    }
+                }
+                if let Some(old) = self.cards.get_mut(&target) {
+                    *old = card;
+                }
+            }
+            DestinationNote::Tick => self.tick(desk),
+            DestinationNote::Offer { free, free_troubled } => self.bid(free, free_troubled, desk),
+            DestinationNote::Award => self.carry(desk),
+            DestinationNote::Shed => self.shed(desk),
+        }
+        let calls = self.cards.values().map(|c| c.calls).sum();
+        self.waiting = self.packets.values().filter(|p| p.out.is_none()).count();
+        let (destination, waiting, troubled) = (self.id, self.waiting, self.troubled());
+        desk.post.forwarder.push_back(ForwarderNote::State { destination, calls, troubled, waiting });
+    }
+
+    fn troubled(&self) -> bool {
+        self.cards.values().any(|c| c.troubled)
+    }
+
+    /// Ends a packet: with a final answer, or with none where none is owed any more.
+    fn end(&mut self, id: PacketId, answer: Option<Action>, desk: &mut Desk) {
+        self.packets.remove(&id);
+        if let Some(answer) = answer {
+            desk.post.forwarder.push_back(ForwarderNote::Do(answer));
+        }
+        desk.post.forwarder.push_back(ForwarderNote::Ended { id });
+    }
+
+    fn trip_over(&mut self, id: PacketId, outcome: Outcome, closed: bool, desk: &mut Desk) {
+        let Some(packet) = self.packets.get_mut(&id) else {
+            return;
+        };
+        let Some((target, sent)) = packet.out.take() else {
+            return;
+        };
+        let zone = self.cards.get(&target).map_or(0, |c| c.zone);
+        if let (Outcome::Timeout | Outcome::Reset | Outcome::CalledOff, Some(key)) = (outcome, packet.key) {
+            desk.post.forwarder.push_back(ForwarderNote::Unclear { key });
+        }
+        if outcome.may_have_run() && packet.exposed.is_none() {
+            packet.exposed = Some((sent, zone));
+        }
+        if let Outcome::Full { wait } = outcome {
+            let slot = self.apart.then_some(target);
+            if let Some(gate) = self.gates.get_mut(&slot) {
+                gate.refused(wait, desk);
+            }
+        }
+        if closed || packet.over || outcome == Outcome::Delivered {
+            return self.end(id, None, desk);
+        }
+        let row = desk.row(packet.profile);
+        let longest = (LONGEST_WAIT * row.expiry as f64) as Micros;
+        let last_send = packet.last_send(row);
+        let wait = (BASE_WAIT << packet.trips.saturating_sub(1).min(20)).min(longest);
+        // Guards against clumps that come due together: chance spreads them, and the waits still grow.
+        packet.ready_at = desk.now + wait + (wait as f64 * JITTER * desk.chance()) as Micros;
+        if packet.trips >= desk.terms.max_trips || packet.ready_at >= last_send {
+            self.end(id, Some(Action::WriteOff { id }), desk);
+        }
+    }
+
+    fn tick(&mut self, desk: &mut Desk) {
+        for gate in self.gates.values_mut() {
+            gate.refill(desk.now, desk.terms);
+        }
+        let ready = self.cards.values().filter(|c| c.ready).count().max(1) as f64;
+        for target in self.cards.keys() {
+            let Some(gate) = self.gates.get(&self.gate_of(*target)) else {
+                continue;
+            };
+            let share = if self.apart { 1.0 } else { ready };
+            let note =
+                TargetNote::Tick { capacity: gate.capacity(desk.terms) / share, held: desk.now < gate.held };
+            desk.post.targets.push_back((*target, note));
+        }
+        // The hold that every way to this destination shares, if there is one.
+        let held = self.gates.values().map(|g| g.held).min().unwrap_or(0);
+        let lost: Vec<PacketId> = self
+            .packets
+            .values()
+            .filter(|p| p.out.is_none())
+            .filter(|p| desk.now + 2 * TICK >= p.last_send(desk.row(p.profile)) || held >= p.expires)
+            .map(|p| p.id)
+            .collect();
+        for id in lost {
+            self.end(id, Some(Action::WriteOff { id }), desk);
+        }
+        if self.cards.is_empty() {
+            self.nowhere_to_go(desk);
+        }
+    }
+
+    /// Guards packets whose destination the list does not know: after their contract time they go back.
+    fn nowhere_to_go(&mut self, desk: &mut Desk) {
+        let late: Vec<PacketId> =
+            self.packets.values().filter(|p| p.out.is_none() && p.due <= desk.now).map(|p| p.id).collect();
+        for id in late {
+            self.give_up(id, desk);
+        }
+    }
+
+    /// A final answer for a packet that waits: deferred where trying again is harmless, else written off.
+    fn give_up(&mut self, id: PacketId, desk: &mut Desk) {
+        let Some(packet) = self.packets.get(&id) else {
+            return;
+        };
+        let row = desk.row(packet.profile);
+        let harmless = packet.exposed.is_none() || row.effect == Effect::Retriable;
+        let held = self.gates.values().map(|g| g.held).min().unwrap_or(0).saturating_sub(desk.now);
+        let come_back = COME_BACK.max(held).min(desk.terms.longest_return);
+        let answer = match harmless && desk.now + come_back < packet.expires {
+            true => Action::Defer { id, come_back: desk.terms.may_say_when.then_some(come_back) },
+            false => Action::WriteOff { id },
+        };
+        self.end(id, Some(answer), desk);
+    }
+
+    fn shed(&mut self, desk: &mut Desk) {
+        let fading = desk.terms.fading;
+        let least = self
+            .packets
+            .values()
+            .filter(|p| p.out.is_none())
+            .map(|p| (p.worth_at(desk.now as f64, desk.row(p.profile), fading), p.due, p.id))
+            .min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)).then(a.2.cmp(&b.2)));
+        if let Some((_, _, id)) = least {
+            self.give_up(id, desk);
+        }
+    }
+
+    /// The packet that a target should get next, and what is lost by leaving it.
+    fn next_for(&self, card: &Card, desk: &Desk) -> Option<(PacketId, f64)> {
+        let ahead = desk.rows.iter().map(|r| r.contract_time).fold(f64::MAX, f64::min);
+        self.packets
+            .values()
+            .filter(|p| p.out.is_none() && p.turn && p.ready_at <= desk.now)
+            .filter(|p| {
+                let row = desk.row(p.profile);
+                let reach = match (row.effect, p.exposed) {
+                    (Effect::Fingerprinted { group: RepeatGroup::Zone, .. }, Some((_, zone))) => {
+                        zone == card.zone
+                    }
+                    // Guards binding packets against targets that lose what they take, while time remains.
+                    (Effect::Binding, _) => card.clean || desk.now + row.expiry / 4 > p.expires,
+                    _ => true,
+                };
+                reach && desk.now + 2 * TICK < p.last_send(row)
+            })
+            .map(|p| (p, p.loss(desk.now, card.answer_time, ahead, desk.row(p.profile), desk.terms.fading)))
+            .max_by(|(a, x), (b, y)| x.total_cmp(y).then(b.due.cmp(&a.due)).then(b.id.cmp(&a.id)))
+            .map(|(p, loss)| (p.id, loss))
+    }
+
+    fn bid(&mut self, free: usize, free_troubled: usize, desk: &mut Desk) {
+        self.pick = None;
+        if self.waiting == 0 || free == 0 || (self.troubled() && free_troubled == 0) {
+            return;
+        }
+        let share = if self.troubled() { CAP_TROUBLED } else { CAP_WELL };
+        let cap = ((share * f64::from(desk.terms.slots)) as usize).max(1);
+        if self.cards.values().map(|c| c.calls).sum::<usize>() >= cap {
+            return;
+        }
+        let mut best: Option<(f64, TargetId)> = None;
+        for (target, card) in &self.cards {
+            let Some(gate) = self.gates.get_mut(&self.apart.then_some(*target)) else {
+                continue;
+            };
+            if card.open == 0 || !card.ready || desk.now < gate.held {
+                continue;
+            }
+            if gate.tokens < 1.0 {
+                gate.short = true;
+                continue;
+            }
+            // Cheapest route first, then the one with the most room for its pace.
+            let cost = card.fee * SECOND * SECOND + card.answer_time * (card.calls + 1) as f64;
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, *target));
+            }
+        }
+        let Some((_, target)) = best else { return };
+        if let Some((_, gain)) = self.next_for(&self.cards[&target], desk) {
+            self.pick = Some(target);
+            desk.post.forwarder.push_back(ForwarderNote::Bid { destination: self.id, gain });
+        }
+    }
+
+    /// Fills one call to the target picked in the bid.
+    fn carry(&mut self, desk: &mut Desk) {
+        let Some(target) = self.pick.take() else { return };
+        let Some(card) = self.cards.get(&target).cloned() else {
+            return;
+        };
+        for rider in 0..self.per_call {
+            let Some((id, _)) = self.next_for(&card, desk) else {
+                break;
+            };
+            let Some(packet) = self.packets.get_mut(&id) else {
+                break;
+            };
+            if rider == 0 {
+                if let Some(gate) = self.gates.get_mut(&self.apart.then_some(target)) {
+                    gate.tokens -= 1.0;
+                }
+            }
+            packet.trips += 1;
+            packet.out = Some((target, desk.now));
+            let row = desk.row(packet.profile);
+            let limit = match row.effect {
+                // A binding packet is lost with its trip: an early time-out gains nothing.
+                Effect::Binding => None,
+                Effect::Retriable => Some(card.trip_time.clamp(row.contract_time, row.expiry as f64 / 2.0)),
+                Effect::Fingerprinted { window, .. } => {
+                    let most = (row.expiry as f64 / 2.0).min(window as f64 / 2.0);
+                    Some(card.trip_time.max(1.5 * row.contract_time).min(most))
+                }
+            };
+            let limit = limit.map(|l| (l as Micros).max(1).min(packet.expires - desk.now));
+            let send = Action::Send { id, target, limit };
+            desk.post.targets.push_back((target, TargetNote::Board));
+            desk.post.forwarder.push_back(ForwarderNote::Do(send));
+        }
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Debug)]
+enum Health {
+    Well,
+    /// Set aside; `probed` once a probe was answered, so that a call may be tried.
+    Aside {
+        probed: bool,
+    },
+    /// Taken back cold, since then.
+    Warming {
+        since: Micros,
+    },
+}
+
+/// One call under way; its packets share its fate.
+struct Call {
+    sent: Micros,
+    riders: usize,
+    boarded: usize,
+    judged: bool,
+}
+
+struct Target {
+    id: TargetId,
+    destination: DestinationId,
+    zone: ZoneId,
+    fee: f64,
+    per_call: usize,
+    standing: Standing,
+    /// Calls under way; each leaves with its last outcome.
+    calls: Vec<Call>,
+    /// Successes among the last few outcomes, at most `LAST_FEW`.
+    recent: VecDeque<bool>,
+    failures: u32,
+    refusals: u32,
+    timeouts: u32,
+    health: Health,
+    capacity: f64,
+    /// Calls that the cold budget still allows, and when it was last filled.
+    budget: f64,
+    filled: Micros,
+    mean: f64,
+    deviation: f64,
+    usual: f64,
+    answered: Micros,
+    fulfilled: Micros,
+    table: Option<(usize, Micros)>,
+    probe_out: bool,
+    next_probe: Micros,
+}
+
+impl Target {
+    fn new(id: TargetId, destination: DestinationId, per_call: usize, now: Micros) -> Target {
+        Target {
+            id,
+            destination,
+            zone: ZoneId(0),
+            fee: 0.0,
+            per_call,
+            standing: Standing::Ready,
+            calls: Vec::new(),
+            recent: VecDeque::new(),
+            failures: 0,
+            refusals: 0,
+            timeouts: 0,
+            health: Health::Well,
+            capacity: 0.0,
+            budget: 0.0,
+            filled: now,
+            mean: 0.0,
+            deviation: 0.0,
+            usual: 0.0,
+            answered: now,
+            fulfilled: 0,
+            table: None,
+            probe_out: false,
+            next_probe: now,
+        }
+    }
+
+    fn read(&mut self, note: TargetNote, desk: &mut Desk) {
+        match note {
+            TargetNote::Listed { zone, standing, fee } => {
+                (self.zone, self.standing, self.fee) = (zone, standing, fee);
+            }
+            TargetNote::Board => {
+                let room = self.per_call;
+                match self.calls.last_mut() {
+                    Some(call) if call.sent == desk.now && call.boarded < room => {
+                        call.riders += 1;
+                        call.boarded += 1;
+                        self.budget -= RIDER;
+                    }
+                    _ => {
+                        self.calls.push(Call { sent: desk.now, riders: 1, boarded: 1, judged: false });
+                        self.budget -= 1.0;
+                        if let Health::Aside { .. } = self.health {
+                            self.health = Health::Aside { probed: false };
+                        }
+                    }
+                }
+            }
+            TargetNote::Over { sent, outcome, took } => {
+                let Some(place) = self.calls.iter().position(|c| c.sent == sent) else {
+                    return;
+                };
+                let call = &mut self.calls[place];
+                call.riders -= 1;
+                let first = !std::mem::replace(&mut call.judged, true);
+                if call.riders == 0 {
+                    self.calls.remove(place);
+                }
+                if first {
+                    self.judge(outcome, took, desk);
+                }
+            }
+            TargetNote::Probed { outcome } => {
+                self.probe_out = false;
+                if let (Health::Aside { .. }, Outcome::Delivered) = (self.health, outcome) {
+                    self.health = Health::Aside { probed: true };
+                }
+            }
+            TargetNote::Sibling => {
+                if self.failures + self.refusals > 0 {
+                    self.set_aside("a sibling fails too", desk);
+                }
+            }
+            TargetNote::Tick { capacity, held } => {
+                self.capacity = capacity;
+                self.tick(held, desk);
+            }
+        }
+        let card = self.card(desk);
+        desk.post.destinations.push_back((self.destination, DestinationNote::Card { target: self.id, card }));
+    }
+
+    fn judge(&mut self, outcome: Outcome, took: Micros, desk: &mut Desk) {
+        let success = match outcome {
+            Outcome::Delivered => true,
+            Outcome::Error | Outcome::Timeout | Outcome::Reset => false,
+            // Guards against taking a full connection table for an outage: others of our calls got through.
+            Outcome::NoConnection if desk.now < self.fulfilled + 2 * SILENCE => {
+                self.table = Some((self.calls.len().max(1), desk.now + TABLE_REST));
+                return;
+            }
+            Outcome::NoConnection => false,
+            Outcome::Full { wait } => {
+                self.answered = desk.now;
+                self.refusals += 1;
+                // Guards against a destination that is shut: it refuses all, or for longer than any limit does.
+                let long = wait.is_some_and(|w| w > desk.terms.rules.overload_for);
+                if long || self.refusals >= ASIDE_ROW {
+                    self.set_aside("it refuses all", desk);
+                }
+                return;
+            }
+            Outcome::CalledOff | Outcome::Moot { .. } => return,
+        };
+        self.recent.push_back(success);
+        if self.recent.len() > LAST_FEW {
+            self.recent.pop_front();
+        }
+        self.timeouts = if outcome == Outcome::Timeout { self.timeouts + 1 } else { 0 };
+        if success {
+            self.answered = desk.now;
+            self.fulfilled = desk.now;
+            (self.failures, self.refusals) = (0, 0);
+            self.learn(took as f64);
+            if let Health::Aside { .. } = self.health {
+                self.health = Health::Warming { since: desk.now };
+                self.recent.clear();
+                self.log("taken back: it answers", desk);
+            }
+            return;
+        }
+        self.failures += 1;
+        let successes = self.recent.iter().filter(|s| **s).count();
+        let most_fail = self.recent.len() == LAST_FEW && successes < ASIDE_SUCCESSES;
+        if self.failures >= ASIDE_ROW || most_fail {
+            self.set_aside("most calls fail", desk);
+        }
+    }
+
+    fn learn(&mut self, took: f64) {
+        if self.usual == 0.0 {
+            (self.mean, self.deviation, self.usual) = (took, took / 2.0, took);
+            return;
+        }
+        self.deviation += 2.0 * NEW_ANSWER * ((took - self.mean).abs() - self.deviation);
+        self.mean += NEW_ANSWER * (took - self.mean);
+        // The usual time follows quickly at first, then slowly, and hardly while it runs long.
+        let weight = if took > SLOW * self.usual { NEW_USUAL / 4.0 } else { NEW_USUAL };
+        self.usual += weight * (took - self.usual);
+    }
+
+    fn set_aside(&mut self, why: &str, desk: &mut Desk) {
+        if !matches!(self.health, Health::Aside { .. }) {
+            self.log(&format!("set aside: {why}"), desk);
+            self.budget = self.budget.min(0.0);
+            self.next_probe = desk.now;
+        }
+        self.health = Health::Aside { probed: !desk.terms.may_probe };
+        self.recent.clear();
+    }
+
+    fn log(&self, what: &str, desk: &mut Desk) {
+        let line = format!("destination {} target {:?} {what}", self.destination.0, self.id.address);
+        desk.post.forwarder.push_back(ForwarderNote::Do(Action::Log(line)));
+    }
+
+    /// Calls a second that it may get from this forwarder while it may be cold, if that binds.
+    ///
+    /// Guards a returning destination against being pushed over: the return is not seen, so the share of the cold
+    /// budget holds from the moment it is set aside, and grows only from the first answer.
+    fn cold_rate(&self, now: Micros, terms: &TermsOfCarriage) -> Option<f64> {
+        let rules = &terms.rules;
+        let warmth = match self.health {
+            Health::Well => return None,
+            Health::Aside { .. } => 0.0,
+            Health::Warming { since } => (now - since) as f64 / rules.warm_after.max(1) as f64,
+        };
+        let present = self.capacity * (rules.cold_from + (1.0 - rules.cold_from) * warmth.min(1.0));
+        let part = COLD_MARGIN * rules.fall_multiple * present / f64::from(terms.forwarders.max(1));
+        Some(part.max(COLD_FLOOR * SECOND / rules.overload_for.max(1) as f64))
+    }
+
+    fn tick(&mut self, held: bool, desk: &mut Desk) {
+        let passed = desk.now.saturating_sub(self.filled) as f64 / SECOND;
+        self.filled = desk.now;
+        if let Some(rate) = self.cold_rate(desk.now, desk.terms) {
+            self.budget = (self.budget + rate * passed).min(1.0);
+        }
+        if let Health::Warming { since } = self.health {
+            if desk.now >= since + desk.terms.rules.warm_after {
+                self.health = Health::Well;
+            }
+        }
+        if let Some((cap, until)) = self.table {
+            if desk.now >= until {
+                self.table = (cap < self.places()).then_some((cap + 1, desk.now + TABLE_REST));
+            }
+        }
+        // Guards against work sunk into a target that takes calls and answers none.
+        let patience = ((self.mean + TAIL * self.deviation) as Micros).max(SILENCE);
+        let still = |c: &&Call| c.sent >= self.answered && desk.now > c.sent + patience;
+        if self.health == Health::Well && self.calls.iter().filter(still).count() >= 2 {
+            self.set_aside("it keeps silent", desk);
+        }
+        let aside = self.health == Health::Aside { probed: false };
+        let free = self.standing == Standing::Ready && !self.probe_out && !held;
+        if aside && free && desk.terms.may_probe && desk.now >= self.next_probe && self.budget >= 1.0 {
+            self.probe_out = true;
+            self.budget -= 1.0;
+            self.next_probe = desk.now + PROBE_GAP + (PROBE_GAP as f64 * JITTER * desk.chance()) as Micros;
+            desk.post.forwarder.push_back(ForwarderNote::Do(Action::Probe { target: self.id }));
+        }
+    }
+
+    fn places(&self) -> usize {
+        if self.usual == 0.0 {
+            return FIRST_PLACES;
+        }
+        1 + (PLACES * self.capacity * self.usual / SECOND).ceil() as usize
+    }
+
+    fn card(&self, desk: &Desk) -> Card {
+        let room = self.places().min(self.table.map_or(usize::MAX, |t| t.0)).saturating_sub(self.calls.len());
+        let cold = self.budget.max(0.0) as usize;
+        let open = match self.health {
+            Health::Well => room,
+            Health::Aside { probed } if probed || !desk.terms.may_probe => room.min(cold).min(1),
+            Health::Aside { .. } => 0,
+            Health::Warming { .. } => room.min(cold),
+        };
+        let failed = self.recent.iter().filter(|s| !**s).count();
+        let slow = self.mean > SLOW * self.usual;
+        let aside = matches!(self.health, Health::Aside { .. });
+        Card {
+            zone: self.zone.0,
+            fee: self.fee,
+            open,
+            calls: self.calls.len(),
+            ready: self.standing == Standing::Ready,
+            aside,
+            troubled: aside || slow || failed >= TROUBLED_FAILURES,
+            clean: !aside && self.failures == 0 && failed < TROUBLED_FAILURES,
+            answer_time: self.mean,
+            trip_time: (self.mean + TAIL * self.deviation) * f64::from(1u32 << self.timeouts.min(4)),
+        }
+    }
+}
+
+/// A tenant's share as seen here: calls within it that are still left.
+struct Share {
+    left: f64,
+    filled: Micros,
+}
+
+/// The packets of one order key, in the order in which they were taken.
+#[derive(Default)]
+struct Turns {
+    line: VecDeque<(PacketId, DestinationId)>,
+    rest: Micros,
+}
+
+pub struct Forwarder {
+    terms: TermsOfCarriage,
+    rows: Vec<Row>,
+    rng: Pcg64Mcg,
+    post: Post,
+    /// Where each packet is; an entry leaves with the packet.
+    book: BTreeMap<PacketId, (DestinationId, Option<OrderKey>)>,
+    destinations: BTreeMap<DestinationId, Destination>,
+    /// Emptied of targets that are gone and have no call left.
+    targets: BTreeMap<TargetId, Target>,
+    /// Emptied of a key once its line is empty and its rest over.
+    turns: BTreeMap<OrderKey, Turns>,
+    shares: Vec<Share>,
+    /// Calls out, trouble and line of each destination, as it last told.
+    states: BTreeMap<DestinationId, (usize, bool, usize)>,
+    bids: Vec<(f64, DestinationId)>,
+    woken: bool,
+    asked: bool,
+}
+
+impl Forwarder {
+    pub fn new(terms: TermsOfCarriage, seed: u64) -> Forwarder {
+        let mut rows: Vec<Row> = terms
+            .profiles
+            .iter()
+            .map(|p| Row {
+                effect: p.effect,
+                contract_time: p.contract_time as f64,
+                expiry: p.expiry,
+                importance: p.importance,
+                late_share: p.late_share,
+                in_order: p.in_order,
+            })
+            .collect();
+        if rows.is_empty() {
+            let effect = Effect::Binding;
+            let (contract_time, expiry) = (SECOND, SECOND as Micros);
+            rows.push(Row {
+                effect,
+                contract_time,
+                expiry,
+                importance: 1.0,
+                late_share: 0.0,
+                in_order: false,
+            });
+        }
+        let shares = terms.tenants.iter().map(|_| Share { left: f64::MAX, filled: 0 }).collect();
+        Forwarder {
+            terms,
+            rows,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            post: Post::default(),
+            book: BTreeMap::new(),
+            destinations: BTreeMap::new(),
+            targets: BTreeMap::new(),
+            turns: BTreeMap::new(),
+            shares,
+            states: BTreeMap::new(),
+            bids: Vec::new(),
+            woken: false,
+            asked: false,
+        }
+    }
+
+    pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+        if self.terms.list_must_be_asked && !self.asked {
+            self.asked = true;
+            actions.push(Action::Watch { on: true });
+        }
+        match event {
+            Event::List(news) => self.list(now, news),
+            Event::Packet(arrival) => self.arrival(now, arrival),
+            Event::TripEnded { id, target, outcome, took, closed, report, .. } => {
+                self.report(target, &report);
+                let sent = self.book.get(&id).and_then(|(d, _)| {
+                    self.destinations.get(d)?.packets.get(&id)?.out.filter(|o| o.0 == target)
+                });
+                if let (Some((_, sent)), Some((destination, _))) = (sent, self.book.get(&id)) {
+                    self.post.targets.push_back((target, TargetNote::Over { sent, outcome, took }));
+                    self.post
+                        .destinations
+                        .push_back((*destination, DestinationNote::Over { id, outcome, closed }));
+                }
+            }
+            Event::Withdrawn { id } => {
+                if let Some((destination, _)) = self.book.get(&id) {
+                    self.post.destinations.push_back((*destination, DestinationNote::Withdrawn(id)));
+                }
+            }
+            Event::ProbeAnswered { target, outcome, report, .. } => {
+                self.report(target, &report);
+                self.post.targets.push_back((target, TargetNote::Probed { outcome }));
+            }
+            Event::Alarm { .. } => {
+                self.woken = false;
+                self.tick(now);
+            }
+            Event::TripBegun { .. } | Event::Neighbour { .. } => {}
+        }
+        self.settle(now, actions);
+        self.deal(now, actions);
+        if !self.woken {
+            self.woken = true;
+            actions.push(Action::Wake { after: TICK.max(self.terms.round), token: Token(0) });
+        }
+    }
+
+    fn tick(&mut self, now: Micros) {
+        for id in self.destinations.keys() {
+            self.post.destinations.push_back((*id, DestinationNote::Tick));
+        }
+        let kept = ((f64::from(self.terms.room) * ROOM_KEPT).ceil() as usize).max(1);
+        let most = (self.terms.room as usize).saturating_sub(kept).max(1);
+        if self.book.len() > most {
+            if let Some((longest, _)) = self.states.iter().max_by_key(|(_, (_, _, waiting))| *waiting) {
+                let notes = self.book.len() - most;
+                (0..notes).for_each(|_| self.post.destinations.push_back((*longest, DestinationNote::Shed)));
+            }
+        }
+        self.turns.retain(|_, t| !t.line.is_empty() || t.rest > now);
+        for turns in self.turns.values().filter(|t| t.rest <= now) {
+            if let Some((id, destination)) = turns.line.front() {
+                self.post.destinations.push_back((*destination, DestinationNote::Turn(*id)));
+            }
+        }
+        self.targets.retain(|_, t| t.standing != Standing::Gone || !t.calls.is_empty());
+    }
+
+    fn report(&mut self, target: TargetId, report: &[f32]) {
+        let limit = self.terms.report_limit.and_then(|at| report.get(at));
+        if let (Some(limit), Some(t)) = (limit, self.targets.get(&target)) {
+            let note = DestinationNote::Told { target, limit: f64::from(*limit) };
+            self.post.destinations.push_back((t.destination, note));
+        }
+    }
+
+    fn list(&mut self, now: Micros, news: ListNews) {
+        let (entries, whole) = match news {
+            ListNews::Changes(entries) => (entries, false),
+            ListNews::Whole(entries) | ListNews::Cached(entries) => (entries, true),
+            ListNews::Failed => {
+                self.asked = false;
+                return;
+            }
+        };
+        if whole {
+            let missing: Vec<TargetId> =
+                self.targets.keys().filter(|t| !entries.iter().any(|e| e.target == **t)).copied().collect();
+            missing.into_iter().for_each(|t| self.listed(t, ZoneId(0), Standing::Gone, 0.0));
+        }
+        for entry in entries {
+            let kind = self.terms.kinds.get(entry.kind.0 as usize).or(self.terms.kinds.last());
+            let per_call = kind.map_or(1, |k| k.per_call.max(1) as usize);
+            let d = entry.destination;
+            let destination = self.destinations.entry(d).or_insert_with(|| Destination::new(d, kind));
+            if destination.cards.is_empty() {
+                (destination.apart, destination.per_call) = (kind.is_some_and(|k| k.routes_apart), per_call);
+            }
+            if entry.standing != Standing::Gone {
+                self.targets
+                    .entry(entry.target)
+                    .or_insert_with(|| Target::new(entry.target, d, per_call, now));
+            }
+            self.listed(entry.target, entry.zone, entry.standing, f64::from(entry.rate));
+        }
+    }
+
+    fn listed(&mut self, target: TargetId, zone: ZoneId, standing: Standing, rate: f64) {
+        let Some(t) = self.targets.get(&target) else {
+            return;
+        };
+        let apart = self.destinations.get(&t.destination).is_some_and(|d| d.apart);
+        let fee = if apart { self.terms.zone_fees.get(zone.0 as usize).copied().unwrap_or(0.0) } else { 0.0 };
+        let gone = standing == Standing::Gone;
+        let note = DestinationNote::Listed { target, rate, gone };
+        self.post.destinations.push_back((t.destination, note));
+        self.post.targets.push_back((target, TargetNote::Listed { zone, standing, fee }));
+    }
+
+    fn arrival(&mut self, now: Micros, arrival: Arrival) {
+        let profile = (arrival.profile.0 as usize).min(self.rows.len() - 1);
+        let row = &self.rows[profile];
+        let mut worth = row.importance;
+        if let (Some(share), Some(tenant)) = (
+            self.shares.get_mut(arrival.tenant.0 as usize),
+            self.terms.tenants.get(arrival.tenant.0 as usize),
+        ) {
+            // Traffic over a tenant's share is worth little: its part here is taken as an even one.
+            let rate = tenant.quota / f64::from(self.terms.forwarders.max(1));
+            let passed = now.saturating_sub(share.filled) as f64 / SECOND;
+            share.left = (share.left + rate * passed).min((rate * SHARE_BURST).max(1.0));
+            share.filled = now;
+            if share.left >= 1.0 {
+                share.left -= 1.0;
+            } else {
+                worth *= self.terms.over_share_worth;
+            }
+        }
+        let key = arrival.key.filter(|_| row.in_order);
+        let expires = now + arrival.left;
+        let destination = arrival.destination;
+        let packet = Packet {
+            id: arrival.id,
+            profile,
+            worth,
+            due: (expires + row.contract_time as Micros).saturating_sub(row.expiry),
+            expires,
+            trips: 0,
+            key,
+            turn: key.is_none(),
+            exposed: None,
+            ready_at: now,
+            out: None,
+            over: false,
+        };
+        if let Some(key) = key {
+            let turns = self.turns.entry(key).or_default();
+            turns.line.push_back((arrival.id, destination));
+        }
+        self.book.insert(arrival.id, (destination, key));
+        self.destinations.entry(destination).or_insert_with(|| Destination::new(destination, None));
+        self.post.destinations.push_back((destination, DestinationNote::Take(packet)));
+        self.pass_turn(now, key);
+    }
+
+    fn pass_turn(&mut self, now: Micros, key: Option<OrderKey>) {
+        let Some(turns) = key.and_then(|k| self.turns.get(&k)) else {
+            return;
+        };
+        if let (true, Some((id, destination))) = (turns.rest <= now, turns.line.front()) {
+            self.post.destinations.push_back((*destination, DestinationNote::Turn(*id)));
+        }
+    }
+
+    /// Empties the inboxes until no part has a note left.
+    fn settle(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        loop {
+            if let Some((id, note)) = self.post.targets.pop_front() {
+                let Forwarder { terms, rows, rng, post, targets, .. } = self;
+                if let Some(target) = targets.get_mut(&id) {
+                    target.read(note, &mut Desk { now, terms, rows, rng, post });
+                }
+            } else if let Some((id, note)) = self.post.destinations.pop_front() {
+                let Forwarder { terms, rows, rng, post, destinations, .. } = self;
+                if let Some(destination) = destinations.get_mut(&id) {
+                    destination.read(note, &mut Desk { now, terms, rows, rng, post });
+                }
+            } else if let Some(note) = self.post.forwarder.pop_front() {
+                self.read(now, note, actions);
+            } else {
+                return;
+            }
+        }
+    }
+
+    fn read(&mut self, now: Micros, note: ForwarderNote, actions: &mut Vec<Action>) {
+        match note {
+            ForwarderNote::Do(action) => actions.push(action),
+            ForwarderNote::Ended { id } => {
+                if let Some((_, Some(key))) = self.book.remove(&id) {
+                    if let Some(turns) = self.turns.get_mut(&key) {
+                        turns.line.retain(|(waiting, _)| *waiting != id);
+                    }
+                    self.pass_turn(now, Some(key));
+                }
+            }
+            ForwarderNote::Unclear { key } => {
+                if let Some(turns) = self.turns.get_mut(&key) {
+                    turns.rest = turns.rest.max(now + self.terms.rules.order_pause);
+                }
+            }
+            ForwarderNote::Bid { destination, gain } => self.bids.push((gain, destination)),
+            ForwarderNote::State { destination, calls, troubled, waiting } => {
+                self.states.insert(destination, (calls, troubled, waiting));
+            }
+        }
+    }
+
+    /// Offers free slots to the lines until none wants one: the packet that loses most by waiting goes first.
+    fn deal(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        let slots = self.terms.slots as usize;
+        let troubled_cap = ((CAP_ALL_TROUBLED * slots as f64) as usize).max(1);
+        loop {
+            let out: usize = self.states.values().map(|s| s.0).sum();
+            let out_troubled: usize = self.states.values().filter(|s| s.1).map(|s| s.0).sum();
+            let mut free = slots.saturating_sub(out);
+            let mut free_troubled = troubled_cap.saturating_sub(out_troubled).min(free);
+            if free == 0 {
+                return;
+            }
+            for (id, _) in self.states.iter().filter(|(_, s)| s.2 > 0) {
+                self.post.destinations.push_back((*id, DestinationNote::Offer { free, free_troubled }));
+            }
+            self.settle(now, actions);
+            let mut bids = std::mem::take(&mut self.bids);
+            if bids.is_empty() {
+                return;
+            }
+            bids.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+            for (_, id) in bids {
+                let troubled = self.states.get(&id).is_some_and(|s| s.1);
+                if free == 0 || (troubled && free_troubled == 0) {
+                    continue;
+                }
+                free -= 1;
+                free_troubled -= usize::from(troubled);
+                self.post.destinations.push_back((id, DestinationNote::Award));
+            }
+            self.settle(now, actions);
+        }
+    }
+}
