--- a/src/rules.rs
+++ b/src/rules.rs
@@ -774,7 +774,7 @@
     fn set_aside(&mut self, why: &str, desk: &mut Desk) {
         if !matches!(self.health, Health::Aside { .. }) {
             self.log(&format!("set aside: {why}"), desk);
-            self.budget = self.budget.min(0.0);
+            self.budget = 0.0;
             self.next_probe = desk.now;
         }
         self.health = Health::Aside { probed: !desk.terms.may_probe };
