Call off trips that later calls to the same target have passed

Might hurt where single packets are far heavier than all others; the patience doubles with each trip of the packet for that.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -153,6 +153,8 @@
     clean: bool,
     answer_time: f64,
     trip_time: f64,
+    /// When the last but one of the calls that were answered, counted by their start, had started.
+    passed: Micros,
 }
 
 struct Packet {
@@ -168,6 +170,7 @@
     exposed: Option<(Micros, u16)>,
     ready_at: Micros,
     out: Option<(TargetId, Micros)>,
+    called_off: bool,
     over: bool,
 }
 
@@ -428,6 +431,7 @@
         }
         // The hold that every way to this destination shares, if there is one.
         let held = self.gates.values().map(|g| g.held).min().unwrap_or(0);
+        self.call_off(desk);
         let lost: Vec<PacketId> = self
             .packets
             .values()
@@ -443,6 +447,25 @@
         }
     }
 
+    /// Guards against trips that get lost on the way: a trip that calls sent later have passed, and that is long
+    /// over its time, is called off and retried. Where nothing is answered it goes on, for its answer may come.
+    fn call_off(&mut self, desk: &mut Desk) {
+        if !desk.terms.may_call_off {
+            return;
+        }
+        for packet in self.packets.values_mut().filter(|p| !p.called_off && !p.over) {
+            let Some((target, sent)) = packet.out else { continue };
+            let Some(card) = self.cards.get(&target) else { continue };
+            let patience = card.trip_time * f64::from(1u32 << (packet.trips - 1).min(8));
+            let late = desk.now as f64 > sent as f64 + patience;
+            if late && card.passed > sent && desk.row(packet.profile).effect != Effect::Binding {
+                packet.called_off = true;
+                let trip = (packet.trips - 1) as u8;
+                desk.post.forwarder.push_back(ForwarderNote::Do(Action::CallOff { id: packet.id, trip }));
+            }
+        }
+    }
+
     /// Guards packets whose destination the list does not know: after their contract time they go back.
     fn nowhere_to_go(&mut self, desk: &mut Desk) {
         let late: Vec<PacketId> =
@@ -559,15 +582,18 @@
             }
             packet.trips += 1;
             packet.out = Some((target, desk.now));
+            packet.called_off = false;
             let row = desk.row(packet.profile);
+            let patience = match desk.terms.may_call_off {
+                true => f64::MAX,
+                false => card.trip_time * f64::from(1u32 << packet.trips.min(8)),
+            };
+            let half = row.expiry as f64 / 2.0;
             let limit = match row.effect {
                 // A binding packet is lost with its trip: an early time-out gains nothing.
                 Effect::Binding => None,
-                Effect::Retriable => Some(card.trip_time.clamp(row.contract_time, row.expiry as f64 / 2.0)),
-                Effect::Fingerprinted { window, .. } => {
-                    let most = (row.expiry as f64 / 2.0).min(window as f64 / 2.0);
-                    Some(card.trip_time.max(1.5 * row.contract_time).min(most))
-                }
+                Effect::Retriable => Some(patience.min(half)),
+                Effect::Fingerprinted { window, .. } => Some(patience.min(half).min(window as f64 / 2.0)),
             };
             let limit = limit.map(|l| (l as Micros).max(1).min(packet.expires - desk.now));
             let send = Action::Send { id, target, limit };
@@ -611,7 +637,6 @@
     recent: VecDeque<bool>,
     failures: u32,
     refusals: u32,
-    timeouts: u32,
     health: Health,
     capacity: f64,
     /// Calls that the cold budget still allows, and when it was last filled.
@@ -622,6 +647,8 @@
     usual: f64,
     answered: Micros,
     fulfilled: Micros,
+    /// Starts of the two latest calls that were answered.
+    passed: [Micros; 2],
     table: Option<(usize, Micros)>,
     probe_out: bool,
     next_probe: Micros,
@@ -640,7 +667,6 @@
             recent: VecDeque::new(),
             failures: 0,
             refusals: 0,
-            timeouts: 0,
             health: Health::Well,
             capacity: 0.0,
             budget: 0.0,
@@ -650,6 +676,7 @@
             usual: 0.0,
             answered: now,
             fulfilled: 0,
+            passed: [0; 2],
             table: None,
             probe_out: false,
             next_probe: now,
@@ -689,6 +716,10 @@
                     self.calls.remove(place);
                 }
                 if first {
+                    if outcome == Outcome::Delivered {
+                        let [last, before] = self.passed;
+                        self.passed = [last.max(sent), before.max(last.min(sent))];
+                    }
                     self.judge(outcome, took, desk);
                 }
             }
@@ -738,7 +769,6 @@
         if self.recent.len() > LAST_FEW {
             self.recent.pop_front();
         }
-        self.timeouts = if outcome == Outcome::Timeout { self.timeouts + 1 } else { 0 };
         if success {
             self.answered = desk.now;
             self.fulfilled = desk.now;
@@ -863,7 +893,8 @@
             troubled: aside || slow || failed >= TROUBLED_FAILURES,
             clean: !aside && self.failures == 0 && failed < TROUBLED_FAILURES,
             answer_time: self.mean,
-            trip_time: (self.mean + TAIL * self.deviation) * f64::from(1u32 << self.timeouts.min(4)),
+            trip_time: (self.mean + TAIL * self.deviation).max(SILENCE as f64),
+            passed: self.passed[1],
         }
     }
 }
@@ -1094,6 +1125,7 @@
             exposed: None,
             ready_at: now,
             out: None,
+            called_off: false,
             over: false,
         };
         if let Some(key) = key {
