Call off lone overdue trips after twice their patience

Cause: a target with little traffic has no later call that shows a lost trip. Might hurt in hangs, where the call would be answered at the end; a target set aside is left out for that.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -458,7 +458,8 @@
             let Some(card) = self.cards.get(&target) else { continue };
             let patience = card.trip_time * f64::from(1u32 << (packet.trips - 1).min(8));
             let late = desk.now as f64 > sent as f64 + patience;
-            if late && card.passed > sent && desk.row(packet.profile).effect != Effect::Binding {
+            let lone = !card.aside && desk.now as f64 > sent as f64 + 2.0 * patience;
+            if late && (lone || card.passed > sent) && desk.row(packet.profile).effect != Effect::Binding {
                 packet.called_off = true;
                 let trip = (packet.trips - 1) as u8;
                 desk.post.forwarder.push_back(ForwarderNote::Do(Action::CallOff { id: packet.id, trip }));
