--- a/src/rules.rs
+++ b/src/rules.rs
@@ -62,8 +62,6 @@
 const COLD_MARGIN: f64 = 0.8;
 /// Calls in each overload window that a set-aside target gets at the least, else its return goes unseen.
 const COLD_FLOOR: f64 = 0.5;
-/// Seconds of arrivals that tell this forwarder's part of a destination's traffic.
-const ASKED_SPAN: f64 = 10.0;
 /// What each further packet of one call weighs in the cold budget, calls.
 const RIDER: f64 = 0.15;
 /// µs between two probes of one target.
@@ -139,7 +137,7 @@
     Over { sent: Micros, outcome: Outcome, took: Micros },
     Probed { outcome: Outcome },
     Sibling,
-    Tick { capacity: f64, part: f64, held: bool },
+    Tick { capacity: f64, held: bool },
 }
 
 /// What a destination knows of one of its targets.
@@ -285,8 +283,6 @@
     /// Packets waiting or out; each leaves with its final answer.
     packets: BTreeMap<PacketId, Packet>,
     waiting: usize,
-    /// Packets a second that come for it, in the recent mean.
-    asked: f64,
     pick: Option<TargetId>,
 }
 
@@ -300,7 +296,6 @@
             gates: BTreeMap::new(),
             packets: BTreeMap::new(),
             waiting: 0,
-            asked: 0.0,
             pick: None,
         }
     }
@@ -312,7 +307,6 @@
     fn read(&mut self, note: DestinationNote, desk: &mut Desk) {
         match note {
             DestinationNote::Take(packet) => {
-                self.asked += 1.0 / ASKED_SPAN;
                 self.packets.insert(packet.id, packet);
             }
             DestinationNote::Turn(id) => {
@@ -422,7 +416,6 @@
     }
 
     fn tick(&mut self, desk: &mut Desk) {
-        self.asked *= 1.0 - TICK as f64 / SECOND / ASKED_SPAN;
         for gate in self.gates.values_mut() {
             gate.refill(desk.now, desk.terms);
         }
@@ -432,11 +425,8 @@
                 continue;
             };
             let share = if self.apart { 1.0 } else { ready };
-            let whole = gate.capacity(desk.terms);
-            // Where traffic is uneven, a forwarder with more of it takes more of the cold budget.
-            let part = (self.asked / whole.max(f64::MIN_POSITIVE))
-                .clamp(1.0 / f64::from(desk.terms.forwarders.max(1)), 1.0);
-            let note = TargetNote::Tick { capacity: whole / share, part, held: desk.now < gate.held };
+            let note =
+                TargetNote::Tick { capacity: gate.capacity(desk.terms) / share, held: desk.now < gate.held };
             desk.post.targets.push_back((*target, note));
         }
         // The hold that every way to this destination shares, if there is one.
@@ -650,8 +640,6 @@
     refusals: u32,
     health: Health,
     capacity: f64,
-    /// This forwarder's part of the cold budget.
-    part: f64,
     /// Calls that the cold budget still allows, and when it was last filled.
     budget: f64,
     filled: Micros,
@@ -682,7 +670,6 @@
             refusals: 0,
             health: Health::Well,
             capacity: 0.0,
-            part: 0.0,
             budget: 0.0,
             filled: now,
             mean: 0.0,
@@ -748,8 +735,8 @@
                     self.set_aside("a sibling fails too", desk);
                 }
             }
-            TargetNote::Tick { capacity, part, held } => {
-                (self.capacity, self.part) = (capacity, part);
+            TargetNote::Tick { capacity, held } => {
+                self.capacity = capacity;
                 self.tick(held, desk);
             }
         }
@@ -842,7 +829,7 @@
             Health::Warming { since } => (now - since) as f64 / rules.warm_after.max(1) as f64,
         };
         let present = self.capacity * (rules.cold_from + (1.0 - rules.cold_from) * warmth.min(1.0));
-        let part = COLD_MARGIN * rules.fall_multiple * present * self.part;
+        let part = COLD_MARGIN * rules.fall_multiple * present / f64::from(terms.forwarders.max(1));
         Some(part.max(COLD_FLOOR * SECOND / rules.overload_for.max(1) as f64))
     }
 
