--- a/src/rules.rs
+++ b/src/rules.rs
@@ -53,8 +53,8 @@
 const CUT: f64 = 0.85;
 const LEAST_PACE: f64 = 0.5;
 const CUT_REST: Micros = 500_000;
-/// Growth of the pace while it binds, listed rates a second, and the most it comes to, listed rates.
-const GROWTH: f64 = 0.08;
+/// Growth of the pace while it binds, even shares a second, and the most it comes to, listed rates.
+const GROWTH: f64 = 0.2;
 const MOST_PACE: f64 = 1.2;
 /// Seconds of pace that may be sent at once after a rest.
 const BURST: f64 = 0.5;
@@ -253,7 +253,7 @@
         self.filled = now;
         if self.short && now > self.cut + 2 * CUT_REST {
             let most = MOST_PACE * self.capacity(terms);
-            self.pace = (self.pace + GROWTH * self.capacity(terms) * passed).min(most.max(self.pace));
+            self.pace = (self.pace + GROWTH * self.even_share(terms) * passed).min(most.max(self.pace));
         }
         self.short = false;
         self.tokens = (self.tokens + self.pace * passed).min((self.pace * BURST).max(1.0));
