--- a/src/rules.rs
+++ b/src/rules.rs
@@ -638,7 +638,6 @@
     recent: VecDeque<bool>,
     failures: u32,
     refusals: u32,
-    refused_since: Micros,
     health: Health,
     capacity: f64,
     /// Calls that the cold budget still allows, and when it was last filled.
@@ -669,7 +668,6 @@
             recent: VecDeque::new(),
             failures: 0,
             refusals: 0,
-            refused_since: 0,
             health: Health::Well,
             capacity: 0.0,
             budget: 0.0,
@@ -758,14 +756,10 @@
             Outcome::NoConnection => false,
             Outcome::Full { wait } => {
                 self.answered = desk.now;
-                if self.refusals == 0 {
-                    self.refused_since = desk.now;
-                }
                 self.refusals += 1;
                 // Guards against a destination that is shut: it refuses all, or for longer than any limit does.
                 let long = wait.is_some_and(|w| w > desk.terms.rules.overload_for);
-                let span = desk.now - self.refused_since;
-                if long || self.refusals >= ASIDE_ROW && span >= desk.terms.rules.overload_for / 2 {
+                if long || self.refusals >= ASIDE_ROW {
                     self.set_aside("it refuses all", desk);
                 }
                 return;
