--- a/src/rules.rs
+++ b/src/rules.rs
@@ -125,7 +125,7 @@
     Told { target: TargetId, limit: f64 },
     Listed { target: TargetId, rate: f64, gone: bool },
     Card { target: TargetId, card: Card },
-    Tick { pressed: bool },
+    Tick,
     Offer { free: usize, free_troubled: usize },
     Award,
     Shed,
@@ -357,7 +357,7 @@
                     *old = card;
                 }
             }
-            DestinationNote::Tick { pressed } => self.tick(pressed, desk),
+            DestinationNote::Tick => self.tick(desk),
             DestinationNote::Offer { free, free_troubled } => self.bid(free, free_troubled, desk),
             DestinationNote::Award => self.carry(desk),
             DestinationNote::Shed => self.shed(desk),
@@ -415,7 +415,7 @@
         }
     }
 
-    fn tick(&mut self, pressed: bool, desk: &mut Desk) {
+    fn tick(&mut self, desk: &mut Desk) {
         for gate in self.gates.values_mut() {
             gate.refill(desk.now, desk.terms);
         }
@@ -431,7 +431,7 @@
         }
         // The hold that every way to this destination shares, if there is one.
         let held = self.gates.values().map(|g| g.held).min().unwrap_or(0);
-        self.call_off(pressed, desk);
+        self.call_off(desk);
         let lost: Vec<PacketId> = self
             .packets
             .values()
@@ -449,7 +449,7 @@
 
     /// Guards against trips that get lost on the way: a trip that calls sent later have passed, and that is long
     /// over its time, is called off and retried. Where nothing is answered it goes on, for its answer may come.
-    fn call_off(&mut self, pressed: bool, desk: &mut Desk) {
+    fn call_off(&mut self, desk: &mut Desk) {
         if !desk.terms.may_call_off {
             return;
         }
@@ -458,7 +458,7 @@
             let Some(card) = self.cards.get(&target) else { continue };
             let patience = card.trip_time * f64::from(1u32 << (packet.trips - 1).min(8));
             let late = desk.now as f64 > sent as f64 + patience;
-            let lone = !card.aside && (pressed || desk.now as f64 > sent as f64 + 2.0 * patience);
+            let lone = !card.aside && desk.now as f64 > sent as f64 + 2.0 * patience;
             if late && (lone || card.passed > sent) && desk.row(packet.profile).effect != Effect::Binding {
                 packet.called_off = true;
                 let trip = (packet.trips - 1) as u8;
@@ -1021,10 +1021,8 @@
     }
 
     fn tick(&mut self, now: Micros) {
-        let out: usize = self.states.values().map(|s| s.0).sum();
-        let pressed = out >= self.terms.slots as usize && self.states.values().any(|s| s.2 > 0);
         for id in self.destinations.keys() {
-            self.post.destinations.push_back((*id, DestinationNote::Tick { pressed }));
+            self.post.destinations.push_back((*id, DestinationNote::Tick));
         }
         let kept = ((f64::from(self.terms.room) * ROOM_KEPT).ceil() as usize).max(1);
         let most = (self.terms.room as usize).saturating_sub(kept).max(1);
