Halve the patience with trips while many over all targets get lost

Told from hangs and slow partners by the part of all trips, over all targets, that had to be called off. Also holds against broken paths to a zone; might hurt when most destinations slow down at once.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -39,6 +39,13 @@
 const NEW_USUAL: f64 = 0.02;
 /// Mean deviations above the mean that a trip may take: answers have long tails.
 const TAIL: f64 = 8.0;
+/// Patiences after which a trip is called off that no later call has passed.
+const LONE: f64 = 2.0;
+/// Part of all trips lost from which the way itself counts as lossy, the weight of one trip in that part, and
+/// the part of the patience that is left then: lost trips are then likelier than slow answers.
+const LOSSY: f64 = 0.15;
+const NEW_LOST: f64 = 0.03;
+const LOSSY_HASTE: f64 = 0.5;
 /// µs that a target must keep still before that means anything: over any short pause.
 const SILENCE: Micros = 1_000_000;
 /// Calls at once, as a part of what the listed rate keeps busy: room for a queue of equal length.
@@ -125,7 +132,7 @@
     Told { target: TargetId, limit: f64 },
     Listed { target: TargetId, rate: f64, gone: bool },
     Card { target: TargetId, card: Card },
-    Tick,
+    Tick { lossy: bool },
     Offer { free: usize, free_troubled: usize },
     Award,
     Shed,
@@ -357,7 +364,7 @@
                     *old = card;
                 }
             }
-            DestinationNote::Tick => self.tick(desk),
+            DestinationNote::Tick { lossy } => self.tick(lossy, desk),
             DestinationNote::Offer { free, free_troubled } => self.bid(free, free_troubled, desk),
             DestinationNote::Award => self.carry(desk),
             DestinationNote::Shed => self.shed(desk),
@@ -415,7 +422,7 @@
         }
     }
 
-    fn tick(&mut self, desk: &mut Desk) {
+    fn tick(&mut self, lossy: bool, desk: &mut Desk) {
         for gate in self.gates.values_mut() {
             gate.refill(desk.now, desk.terms);
         }
@@ -431,7 +438,7 @@
         }
         // The hold that every way to this destination shares, if there is one.
         let held = self.gates.values().map(|g| g.held).min().unwrap_or(0);
-        self.call_off(desk);
+        self.call_off(lossy, desk);
         let lost: Vec<PacketId> = self
             .packets
             .values()
@@ -449,16 +456,17 @@
 
     /// Guards against trips that get lost on the way: a trip that calls sent later have passed, and that is long
     /// over its time, is called off and retried. Where nothing is answered it goes on, for its answer may come.
-    fn call_off(&mut self, desk: &mut Desk) {
+    fn call_off(&mut self, lossy: bool, desk: &mut Desk) {
         if !desk.terms.may_call_off {
             return;
         }
         for packet in self.packets.values_mut().filter(|p| !p.called_off && !p.over) {
             let Some((target, sent)) = packet.out else { continue };
             let Some(card) = self.cards.get(&target) else { continue };
-            let patience = card.trip_time * f64::from(1u32 << (packet.trips - 1).min(8));
+            let haste = if lossy { LOSSY_HASTE } else { 1.0 };
+            let patience = haste * card.trip_time * f64::from(1u32 << (packet.trips - 1).min(8));
             let late = desk.now as f64 > sent as f64 + patience;
-            let lone = !card.aside && desk.now as f64 > sent as f64 + 2.0 * patience;
+            let lone = !card.aside && desk.now as f64 > sent as f64 + LONE * patience;
             if late && (lone || card.passed > sent) && desk.row(packet.profile).effect != Effect::Binding {
                 packet.called_off = true;
                 let trip = (packet.trips - 1) as u8;
@@ -931,6 +939,8 @@
     bids: Vec<(f64, DestinationId)>,
     woken: bool,
     asked: bool,
+    /// Part of the latest trips, over all targets, that got lost on the way.
+    lost: f64,
 }
 
 impl Forwarder {
@@ -974,6 +984,7 @@
             bids: Vec::new(),
             woken: false,
             asked: false,
+            lost: 0.0,
         }
     }
 
@@ -986,6 +997,8 @@
             Event::List(news) => self.list(now, news),
             Event::Packet(arrival) => self.arrival(now, arrival),
             Event::TripEnded { id, target, outcome, took, closed, report, .. } => {
+                let lost = f64::from(u8::from(outcome == Outcome::CalledOff));
+                self.lost += NEW_LOST * (lost - self.lost);
                 self.report(target, &report);
                 let sent = self.book.get(&id).and_then(|(d, _)| {
                     self.destinations.get(d)?.packets.get(&id)?.out.filter(|o| o.0 == target)
@@ -1021,8 +1034,9 @@
     }
 
     fn tick(&mut self, now: Micros) {
+        let lossy = self.lost > LOSSY;
         for id in self.destinations.keys() {
-            self.post.destinations.push_back((*id, DestinationNote::Tick));
+            self.post.destinations.push_back((*id, DestinationNote::Tick { lossy }));
         }
         let kept = ((f64::from(self.terms.room) * ROOM_KEPT).ceil() as usize).max(1);
         let most = (self.terms.room as usize).saturating_sub(kept).max(1);
