--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,9 +43,9 @@
 const LONE: f64 = 2.0;
 /// Part of all trips lost from which the way itself counts as lossy, the weight of one trip in that part, and
 /// the part of the patience that is left then: lost trips are then likelier than slow answers.
-const LOSSY: f64 = 0.15;
+const LOSSY: f64 = 0.1;
 const NEW_LOST: f64 = 0.03;
-const LOSSY_HASTE: f64 = 0.5;
+const LOSSY_HASTE: f64 = 0.3;
 /// µs that a target must keep still before that means anything: over any short pause.
 const SILENCE: Micros = 1_000_000;
 /// Calls at once, as a part of what the listed rate keeps busy: room for a queue of equal length.
