Write the module shorter, let packets try where probes fail, count slots of gone targets

Probes unanswered three times in a row let one packet try (probes may be what fails); a gone target keeps its calls on the books until they end.

--- a/crates/simhost/src/start.rs
+++ b/crates/simhost/src/start.rs
@@ -31,8 +31,6 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct Account {
-    #[serde(default)]
-    name: String,
     quota_per_s: f64,
 }
 
@@ -98,8 +96,6 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct Profile {
-    #[serde(default)]
-    name: String,
     effect: ProfileEffect,
     #[serde(default)]
     group: Group,
@@ -174,11 +170,7 @@
             Fades::Halving => Fading::Halving,
         },
         over_share_worth: start.over_share_worth,
-        tenants: start
-            .accounts
-            .into_iter()
-            .map(|a| TenantTerms { name: a.name, quota: a.quota_per_s })
-            .collect(),
+        tenants: start.accounts.into_iter().map(|a| TenantTerms { quota: a.quota_per_s }).collect(),
         kinds,
         zone_fees: start.domain.zone_fee,
         report_left: place("x0"),
@@ -205,7 +197,6 @@
         Group::Cell => RepeatGroup::Destination,
     };
     ProfileTerms {
-        name: p.name,
         effect: match p.effect {
             ProfileEffect::Free => Effect::Retriable,
             ProfileEffect::Guarded => Effect::Fingerprinted { group, window: p.dedup_window_us },
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -6,13 +6,13 @@
 pub struct PacketId(pub u32);
 
 /// Four bytes of address and a port, as the front end names the target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TargetId {
     pub address: [u8; 4],
     pub port: u16,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct DestinationId(pub u16);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -21,7 +21,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct KindId(pub u16);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ZoneId(pub u16);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -33,8 +33,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Token(pub u32);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
+    #[default]
     Ready,
     Draining,
     Gone,
@@ -222,7 +223,6 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct ProfileTerms {
-    pub name: String,
     pub effect: Effect,
     pub contract_time: Micros,
     pub expiry: Micros,
@@ -233,7 +233,6 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct TenantTerms {
-    pub name: String,
     /// Packets a second within its share, for all forwarders together.
     pub quota: f64,
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -11,112 +11,80 @@
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, VecDeque};
 
-const SECOND: f64 = 1e6;
-/// µs between two looks at all timers: small beside any trip, large beside a round's cost.
-const TICK: Micros = 10_000;
-/// µs before the first retry; the design's starting value.
-const BASE_WAIT: Micros = 100_000;
-/// Part of expiry that a retry waits at most; the design's starting value.
-const LONGEST_WAIT: f64 = 0.25;
-/// Part of a retry wait that chance adds at most; under 1, so that doubling waits still grow.
-const JITTER: f64 = 0.5;
-/// Parts of the slots that one destination may hold: while it answers well, and while it does not.
-const CAP_WELL: f64 = 0.75;
-const CAP_TROUBLED: f64 = 0.5;
-/// Part of the slots that all troubled destinations hold together, so that those that answer keep the rest.
-const CAP_ALL_TROUBLED: f64 = 0.5;
-/// Outcomes that judge a target: few enough to turn within seconds at a call a second.
-const LAST_FEW: usize = 8;
-/// Successes among them below which a target is set aside, and failures in a row that do the same sooner.
-const ASIDE_SUCCESSES: usize = 4;
-const ASIDE_ROW: u32 = 3;
-/// Failures among them that make a target troubled.
-const TROUBLED_FAILURES: usize = 2;
-/// Times its usual time to answer from which a target counts as slow.
-const SLOW: f64 = 3.0;
-/// Weight of one answer in the short and the long mean of the time to answer.
-const NEW_ANSWER: f64 = 0.125;
-const NEW_USUAL: f64 = 0.02;
-/// Mean deviations above the mean that a trip may take: answers have long tails.
-const TAIL: f64 = 8.0;
-/// Patiences after which a trip is called off that no later call has passed.
-const LONE: f64 = 2.0;
-/// Part of all trips lost from which the way itself counts as lossy, the weight of one trip in that part, and
-/// the part of the patience that is left then: lost trips are then likelier than slow answers.
-const LOSSY: f64 = 0.1;
-const NEW_LOST: f64 = 0.03;
-const LOSSY_HASTE: f64 = 0.3;
-/// µs that a target must keep still before that means anything: over any short pause.
-const SILENCE: Micros = 1_000_000;
-/// Calls at once, as a part of what the listed rate keeps busy: room for a queue of equal length.
-const PLACES: f64 = 2.0;
-/// Places of a target that has not answered yet, calls.
-const FIRST_PLACES: usize = 4;
-/// µs until a target whose connection table was full is tried with one call more.
-const TABLE_REST: Micros = 5_000_000;
-/// Pace at start, in parts of an even share of the listed rate: room for shares that are not even.
-const FIRST_PACE: f64 = 1.25;
-/// Pace after a refusal, as a part of that before; the least, as a part of an even share; µs between two cuts.
-const CUT: f64 = 0.85;
-const LEAST_PACE: f64 = 0.5;
-const CUT_REST: Micros = 500_000;
-/// Growth of the pace while it binds, even shares a second, and the most it comes to, listed rates.
-const GROWTH: f64 = 0.2;
-const MOST_PACE: f64 = 1.2;
-/// Seconds of pace that may be sent at once after a rest.
-const BURST: f64 = 0.5;
-/// Part of the cold budget that is used: capacity is only estimated, and others estimate too.
-const COLD_MARGIN: f64 = 0.8;
-/// Calls in each overload window that a set-aside target gets at the least, else its return goes unseen.
-const COLD_FLOOR: f64 = 0.5;
-/// What each further packet of one call weighs in the cold budget, calls.
-const RIDER: f64 = 0.15;
-/// µs between two probes of one target.
-const PROBE_GAP: Micros = 500_000;
-/// Part of the room kept free, so that the door never turns work away blindly.
-const ROOM_KEPT: f64 = 0.05;
-/// Seconds of a tenant's share that may come at once before it counts as over its share.
-const SHARE_BURST: f64 = 2.0;
-/// µs that a client is asked to stay away where no hold tells better.
-const COME_BACK: Micros = 1_000_000;
-
-/// What differs by profile; filled once at start.
-struct Row {
-    effect: Effect,
-    contract_time: f64,
-    expiry: Micros,
-    importance: f64,
-    late_share: f64,
-    in_order: bool,
-}
+// Every tuned figure, with its unit and the reason for its size.
+const SECOND: f64 = 1e6; // µs
+const TICK: Micros = 10_000; // µs between looks at all timers: small beside any trip, large beside a round's cost
+const BASE_WAIT: Micros = 100_000; // µs before the first retry: the design's starting value
+const LONGEST_WAIT: f64 = 0.25; // of expiry, the longest retry wait: the design's starting value
+const JITTER: f64 = 0.5; // of a wait, added by chance at most: under 1, so that doubling waits still grow
+const CAP_WELL: f64 = 0.75; // of the slots, for a destination that answers well: the design's share
+const CAP_TROUBLED: f64 = 0.5; // of the slots, for one that fails or runs long: the design's share
+const CAP_ALL_TROUBLED: f64 = 0.5; // of the slots, for all such together: the others keep the rest
+const LAST_FEW: usize = 8; // outcomes that judge a target: turns within seconds at a call a second
+const ASIDE_SUCCESSES: usize = 4; // of the last few, fewer set it aside: the rules call most failing an outage
+const ASIDE_ROW: u32 = 3; // failures in a row that set it aside sooner: chance seldom makes three
+const TROUBLED_FAILURES: usize = 2; // of the last few, for the lower share: one may be chance
+const SLOW: f64 = 3.0; // times its usual answer time from which a target runs long: over common swings
+const NEW_ANSWER: f64 = 0.125; // weight of an answer in the short mean: some eight answers
+const NEW_USUAL: f64 = 0.02; // weight of an answer in the long mean: some fifty answers
+const TAIL: f64 = 8.0; // mean deviations above the mean that a trip may take: answers have long tails
+const SILENCE: Micros = 1_000_000; // µs without answer that mean nothing yet: over any short pause
+const LONE: f64 = 2.0; // patiences with a trip that no later call has passed: less is known of it
+const LOSSY: f64 = 0.1; // part of all trips called off from which the way itself is at fault: rare otherwise
+const NEW_LOST: f64 = 0.03; // weight of a trip in that part: some thirty trips
+const LOSSY_HASTE: f64 = 0.3; // of the patience, while trips get lost: a loss is likelier than a slow answer
+const PLACES: f64 = 2.0; // calls at once, times what the listed rate keeps busy: as many again in its queue
+const FIRST_PLACES: usize = 4; // calls at once, before the first answer: enough to learn from
+const TABLE_REST: Micros = 5_000_000; // µs until one call more after a full connection table: idle ones close
+const FIRST_PACE: f64 = 1.25; // even shares of the listed rate, at start: shares are not quite even
+const LEAST_PACE: f64 = 0.5; // even shares, the slowest pace: refusals may be others' doing
+const MOST_PACE: f64 = 1.2; // listed rates, the fastest pace: lists can be rough
+const CUT: f64 = 0.85; // of the pace, after a refusal: mild, for one refusal tells little
+const CUT_REST: Micros = 500_000; // µs between cuts: one clump's refusals count once
+const GROWTH: f64 = 0.2; // even shares a second, while the pace binds: some seconds to double
+const BURST: f64 = 0.5; // seconds of pace that may go at once: limits allow about as much
+const COLD_MARGIN: f64 = 0.8; // of the cold budget that is used: capacity is only estimated, by others too
+const COLD_FLOOR: f64 = 0.5; // calls an overload window for a target set aside: else its return goes unseen
+const RIDER: f64 = 0.15; // calls, what a further packet in a call weighs while cold: it is a little work
+const PROBE_GAP: Micros = 500_000; // µs between probes of one target: a return is seen soon enough
+const DEAF_PROBES: u32 = 3; // probes unanswered in a row after which a packet tries: probes may be what fails
+const ROOM_KEPT: f64 = 0.05; // of the room kept free: the door must not turn work away blindly
+const SHARE_BURST: f64 = 2.0; // seconds of a tenant's share that may come at once: arrivals are uneven
+const COME_BACK: Micros = 1_000_000; // µs that a client is asked to stay away where no hold tells better
 
 /// What every part may look at and use while it reads a note.
 struct Desk<'a> {
     now: Micros,
     terms: &'a TermsOfCarriage,
-    rows: &'a [Row],
     rng: &'a mut Pcg64Mcg,
     post: &'a mut Post,
 }
 
-impl Desk<'_> {
-    fn row(&self, profile: usize) -> &Row {
-        &self.rows[profile.min(self.rows.len() - 1)]
+impl<'a> Desk<'a> {
+    /// The profile's row in the one table of what differs by profile.
+    fn row(&self, profile: usize) -> &'a ProfileTerms {
+        &self.terms.profiles[profile]
     }
     fn chance(&mut self) -> f64 {
-        self.rng.random::<f64>()
+        self.rng.random()
+    }
+    fn act(&mut self, action: Action) {
+        self.tell(ToForwarder::Do(action));
+    }
+    fn tell(&mut self, note: ToForwarder) {
+        self.post.forwarder.push_back(note);
     }
 }
 
 /// The inboxes of all parts; `Forwarder::settle` empties them within the event that filled them.
 #[derive(Default)]
 struct Post {
-    forwarder: VecDeque<ForwarderNote>,
-    destinations: VecDeque<(DestinationId, DestinationNote)>,
-    targets: VecDeque<(TargetId, TargetNote)>,
+    forwarder: VecDeque<ToForwarder>,
+    destinations: VecDeque<(DestinationId, ToDestination)>,
+    targets: VecDeque<(TargetId, ToTarget)>,
 }
 
-enum ForwarderNote {
+enum ToForwarder {
     Do(Action),
     Ended { id: PacketId },
     Unclear { key: OrderKey },
@@ -124,13 +92,14 @@
     State { destination: DestinationId, calls: usize, troubled: bool, waiting: usize },
 }
 
-enum DestinationNote {
+enum ToDestination {
     Take(Packet),
     Turn(PacketId),
     Over { id: PacketId, outcome: Outcome, closed: bool },
     Withdrawn(PacketId),
     Told { target: TargetId, limit: f64 },
-    Listed { target: TargetId, rate: f64, gone: bool },
+    Listed { target: TargetId, rate: f64 },
+    Left(TargetId),
     Card { target: TargetId, card: Card },
     Tick { lossy: bool },
     Offer { free: usize, free_troubled: usize },
@@ -138,7 +107,7 @@
     Shed,
 }
 
-enum TargetNote {
+enum ToTarget {
     Listed { zone: ZoneId, standing: Standing, fee: f64 },
     Board,
     Over { sent: Micros, outcome: Outcome, took: Micros },
@@ -183,7 +152,7 @@
 
 impl Packet {
     /// What is left of its worth when it is delivered at `at`.
-    fn worth_at(&self, at: f64, row: &Row, fading: Fading) -> f64 {
+    fn worth_at(&self, at: f64, row: &ProfileTerms, fading: Fading) -> f64 {
         let late = at - self.due as f64;
         if at >= self.expires as f64 {
             return 0.0;
@@ -192,7 +161,7 @@
             return self.worth;
         }
         let kept = match fading {
-            Fading::Halving => (-late / row.contract_time.max(1.0)).exp2().max(row.late_share),
+            Fading::Halving => (-late / (row.contract_time as f64).max(1.0)).exp2().max(row.late_share),
             Fading::Evenly => {
                 let span = (self.expires.saturating_sub(self.due) as f64).max(1.0);
                 1.0 - (1.0 - row.late_share) * late / span
@@ -202,7 +171,7 @@
     }
 
     /// The last moment at which a further trip is allowed.
-    fn last_send(&self, row: &Row) -> Micros {
+    fn last_send(&self, row: &ProfileTerms) -> Micros {
         match (row.effect, self.exposed) {
             (Effect::Fingerprinted { window, .. }, Some((first, _))) => self.expires.min(first + window),
             (Effect::Binding, Some(_)) => 0,
@@ -211,7 +180,7 @@
     }
 
     /// What is lost by sending it later, over a look ahead of about `ahead`, rather than now.
-    fn loss(&self, now: Micros, answer_time: f64, ahead: f64, row: &Row, fading: Fading) -> f64 {
+    fn loss(&self, now: Micros, answer_time: f64, ahead: f64, row: &ProfileTerms, fading: Fading) -> f64 {
         let last = self.last_send(row) as f64;
         let at = |after: f64| match now as f64 + after < last {
             true => self.worth_at(now as f64 + after + answer_time, row, fading),
@@ -222,6 +191,7 @@
 }
 
 /// Pace and hold of a destination, or of one route where they are apart.
+#[derive(Default)]
 struct Gate {
     listed: f64,
     told: Option<f64>,
@@ -234,12 +204,12 @@
 }
 
 impl Gate {
-    fn new(listed: f64, now: Micros, terms: &TermsOfCarriage) -> Gate {
-        let listed = if terms.list_rates == ListRates::Untold { 0.0 } else { listed.max(0.0) };
-        let mut gate =
-            Gate { listed, told: None, pace: 0.0, tokens: 1.0, filled: now, cut: 0, short: false, held: 0 };
-        gate.pace = FIRST_PACE * gate.even_share(terms);
-        gate
+    /// Takes a listed rate; the first one, like the first told limit, sets the pace.
+    fn rated(&mut self, listed: f64, terms: &TermsOfCarriage) {
+        self.listed = listed.max(0.0);
+        if self.pace == 0.0 {
+            self.pace = FIRST_PACE * self.even_share(terms);
+        }
     }
 
     /// Calls a second that it takes from all forwarders together, as far as is known.
@@ -279,6 +249,7 @@
     }
 }
 
+#[derive(Default)]
 struct Destination {
     id: DestinationId,
     apart: bool,
@@ -299,37 +270,23 @@
             id,
             apart: kind.is_some_and(|k| k.routes_apart),
             per_call: kind.map_or(1, |k| k.per_call.max(1) as usize),
-            cards: BTreeMap::new(),
-            gates: BTreeMap::new(),
-            packets: BTreeMap::new(),
-            waiting: 0,
-            pick: None,
+            ..Destination::default()
         }
     }
 
-    fn gate_of(&self, target: TargetId) -> Option<TargetId> {
-        self.apart.then_some(target)
-    }
-
-    fn read(&mut self, note: DestinationNote, desk: &mut Desk) {
+    fn read(&mut self, note: ToDestination, desk: &mut Desk) {
         match note {
-            DestinationNote::Take(packet) => {
-                self.packets.insert(packet.id, packet);
-            }
-            DestinationNote::Turn(id) => {
-                if let Some(packet) = self.packets.get_mut(&id) {
-                    packet.turn = true;
-                }
-            }
-            DestinationNote::Over { id, outcome, closed } => self.trip_over(id, outcome, closed, desk),
-            DestinationNote::Withdrawn(id) => match self.packets.get_mut(&id) {
+            ToDestination::Take(packet) => drop(self.packets.insert(packet.id, packet)),
+            ToDestination::Turn(id) => drop(self.packets.entry(id).and_modify(|p| p.turn = true)),
+            ToDestination::Over { id, outcome, closed } => self.trip_over(id, outcome, closed, desk),
+            ToDestination::Withdrawn(id) => match self.packets.get_mut(&id) {
                 // Its trip still runs: it keeps its turn and its place until the outcome has come.
                 Some(packet) if packet.out.is_some() => packet.over = true,
                 Some(_) => self.end(id, None, desk),
                 None => {}
             },
-            DestinationNote::Told { target, limit } => {
-                if let Some(gate) = self.gates.get_mut(&self.gate_of(target)) {
+            ToDestination::Told { target, limit } => {
+                if let Some(gate) = self.gates.get_mut(&self.apart.then_some(target)) {
                     let first = gate.told.is_none();
                     gate.told = (limit > 0.0).then_some(limit);
                     if first && limit > 0.0 {
@@ -337,42 +294,36 @@
                     }
                 }
             }
-            DestinationNote::Listed { target, rate, gone } => {
-                let slot = self.gate_of(target);
-                if gone {
-                    self.cards.remove(&target);
-                    if self.apart {
-                        self.gates.remove(&slot);
-                    }
-                } else {
-                    self.cards.entry(target).or_default();
-                    let gate =
-                        self.gates.entry(slot).or_insert_with(|| Gate::new(rate, desk.now, desk.terms));
-                    if desk.terms.list_rates != ListRates::Untold {
-                        gate.listed = rate.max(0.0);
-                    }
-                }
+            // A gate without its target stays until its hold is over.
+            ToDestination::Left(target) => drop(self.cards.remove(&target)),
+            ToDestination::Listed { target, rate } => {
+                self.cards.entry(target).or_default();
+                let fresh = Gate { tokens: 1.0, filled: desk.now, ..Gate::default() };
+                let gate = self.gates.entry(self.apart.then_some(target)).or_insert(fresh);
+                gate.rated(if desk.terms.list_rates == ListRates::Untold { 0.0 } else { rate }, desk.terms);
             }
-            DestinationNote::Card { target, card } => {
+            ToDestination::Card { target, card } => {
                 // One target set aside makes its siblings suspect: most outages take them all.
                 if card.aside && self.cards.get(&target).is_some_and(|old| !old.aside) && !self.apart {
                     for sibling in self.cards.keys().filter(|t| **t != target) {
-                        desk.post.targets.push_back((*sibling, TargetNote::Sibling));
+                        desk.post.targets.push_back((*sibling, ToTarget::Sibling));
                     }
                 }
-                if let Some(old) = self.cards.get_mut(&target) {
-                    *old = card;
-                }
+                self.cards.entry(target).and_modify(|old| *old = card);
             }
-            DestinationNote::Tick { lossy } => self.tick(lossy, desk),
-            DestinationNote::Offer { free, free_troubled } => self.bid(free, free_troubled, desk),
-            DestinationNote::Award => self.carry(desk),
-            DestinationNote::Shed => self.shed(desk),
+            ToDestination::Tick { lossy } => self.tick(lossy, desk),
+            ToDestination::Offer { free, free_troubled } => self.bid(free, free_troubled, desk),
+            ToDestination::Award => self.carry(desk),
+            ToDestination::Shed => self.shed(desk),
         }
         let calls = self.cards.values().map(|c| c.calls).sum();
-        self.waiting = self.packets.values().filter(|p| p.out.is_none()).count();
+        self.waiting = self.line().count();
         let (destination, waiting, troubled) = (self.id, self.waiting, self.troubled());
-        desk.post.forwarder.push_back(ForwarderNote::State { destination, calls, troubled, waiting });
+        desk.tell(ToForwarder::State { destination, calls, troubled, waiting });
+    }
+
+    fn line(&self) -> impl Iterator<Item = &Packet> {
+        self.packets.values().filter(|p| p.out.is_none())
     }
 
     fn troubled(&self) -> bool {
@@ -383,30 +334,25 @@
     fn end(&mut self, id: PacketId, answer: Option<Action>, desk: &mut Desk) {
         self.packets.remove(&id);
         if let Some(answer) = answer {
-            desk.post.forwarder.push_back(ForwarderNote::Do(answer));
+            desk.act(answer);
         }
-        desk.post.forwarder.push_back(ForwarderNote::Ended { id });
+        desk.tell(ToForwarder::Ended { id });
     }
 
     fn trip_over(&mut self, id: PacketId, outcome: Outcome, closed: bool, desk: &mut Desk) {
-        let Some(packet) = self.packets.get_mut(&id) else {
-            return;
-        };
-        let Some((target, sent)) = packet.out.take() else {
-            return;
-        };
+        let Some(packet) = self.packets.get_mut(&id) else { return };
+        let Some((target, sent)) = packet.out.take() else { return };
         let zone = self.cards.get(&target).map_or(0, |c| c.zone);
         if let (Outcome::Timeout | Outcome::Reset | Outcome::CalledOff, Some(key)) = (outcome, packet.key) {
-            desk.post.forwarder.push_back(ForwarderNote::Unclear { key });
+            desk.tell(ToForwarder::Unclear { key });
         }
         if outcome.may_have_run() && packet.exposed.is_none() {
             packet.exposed = Some((sent, zone));
         }
-        if let Outcome::Full { wait } = outcome {
-            let slot = self.apart.then_some(target);
-            if let Some(gate) = self.gates.get_mut(&slot) {
-                gate.refused(wait, desk);
-            }
+        if let (Outcome::Full { wait }, Some(gate)) =
+            (outcome, self.gates.get_mut(&self.apart.then_some(target)))
+        {
+            gate.refused(wait, desk);
         }
         if closed || packet.over || outcome == Outcome::Delivered {
             return self.end(id, None, desk);
@@ -423,35 +369,28 @@
     }
 
     fn tick(&mut self, lossy: bool, desk: &mut Desk) {
-        for gate in self.gates.values_mut() {
-            gate.refill(desk.now, desk.terms);
-        }
+        self.gates.retain(|t, gate| t.is_none_or(|t| self.cards.contains_key(&t)) || gate.held > desk.now);
+        self.gates.values_mut().for_each(|gate| gate.refill(desk.now, desk.terms));
         let ready = self.cards.values().filter(|c| c.ready).count().max(1) as f64;
         for target in self.cards.keys() {
-            let Some(gate) = self.gates.get(&self.gate_of(*target)) else {
-                continue;
-            };
-            let share = if self.apart { 1.0 } else { ready };
-            let note =
-                TargetNote::Tick { capacity: gate.capacity(desk.terms) / share, held: desk.now < gate.held };
+            let Some(gate) = self.gates.get(&self.apart.then_some(*target)) else { continue };
+            let capacity = gate.capacity(desk.terms) / if self.apart { 1.0 } else { ready };
+            let note = ToTarget::Tick { capacity, held: desk.now < gate.held };
             desk.post.targets.push_back((*target, note));
         }
         // The hold that every way to this destination shares, if there is one.
         let held = self.gates.values().map(|g| g.held).min().unwrap_or(0);
         self.call_off(lossy, desk);
         let lost: Vec<PacketId> = self
-            .packets
-            .values()
-            .filter(|p| p.out.is_none())
+            .line()
             .filter(|p| desk.now + 2 * TICK >= p.last_send(desk.row(p.profile)) || held >= p.expires)
             .map(|p| p.id)
             .collect();
-        for id in lost {
-            self.end(id, Some(Action::WriteOff { id }), desk);
-        }
-        if self.cards.is_empty() {
-            self.nowhere_to_go(desk);
-        }
+        lost.into_iter().for_each(|id| self.end(id, Some(Action::WriteOff { id }), desk));
+        // Guards packets whose destination the list does not know: after their contract time they go back.
+        let nowhere = |p: &&Packet| self.cards.is_empty() && p.due <= desk.now;
+        let stranded: Vec<PacketId> = self.line().filter(nowhere).map(|p| p.id).collect();
+        stranded.into_iter().for_each(|id| self.give_up(id, desk));
     }
 
     /// Guards against trips that get lost on the way: a trip that calls sent later have passed, and that is long
@@ -470,25 +409,14 @@
             if late && (lone || card.passed > sent) && desk.row(packet.profile).effect != Effect::Binding {
                 packet.called_off = true;
                 let trip = (packet.trips - 1) as u8;
-                desk.post.forwarder.push_back(ForwarderNote::Do(Action::CallOff { id: packet.id, trip }));
+                desk.act(Action::CallOff { id: packet.id, trip });
             }
         }
     }
 
-    /// Guards packets whose destination the list does not know: after their contract time they go back.
-    fn nowhere_to_go(&mut self, desk: &mut Desk) {
-        let late: Vec<PacketId> =
-            self.packets.values().filter(|p| p.out.is_none() && p.due <= desk.now).map(|p| p.id).collect();
-        for id in late {
-            self.give_up(id, desk);
-        }
-    }
-
     /// A final answer for a packet that waits: deferred where trying again is harmless, else written off.
     fn give_up(&mut self, id: PacketId, desk: &mut Desk) {
-        let Some(packet) = self.packets.get(&id) else {
-            return;
-        };
+        let Some(packet) = self.packets.get(&id) else { return };
         let row = desk.row(packet.profile);
         let harmless = packet.exposed.is_none() || row.effect == Effect::Retriable;
         let held = self.gates.values().map(|g| g.held).min().unwrap_or(0).saturating_sub(desk.now);
@@ -503,9 +431,7 @@
     fn shed(&mut self, desk: &mut Desk) {
         let fading = desk.terms.fading;
         let least = self
-            .packets
-            .values()
-            .filter(|p| p.out.is_none())
+            .line()
             .map(|p| (p.worth_at(desk.now as f64, desk.row(p.profile), fading), p.due, p.id))
             .min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)).then(a.2.cmp(&b.2)));
         if let Some((_, _, id)) = least {
@@ -515,10 +441,9 @@
 
     /// The packet that a target should get next, and what is lost by leaving it.
     fn next_for(&self, card: &Card, desk: &Desk) -> Option<(PacketId, f64)> {
-        let ahead = desk.rows.iter().map(|r| r.contract_time).fold(f64::MAX, f64::min);
-        self.packets
-            .values()
-            .filter(|p| p.out.is_none() && p.turn && p.ready_at <= desk.now)
+        let ahead = desk.terms.profiles.iter().map(|r| r.contract_time).min().unwrap_or(0) as f64;
+        self.line()
+            .filter(|p| p.turn && p.ready_at <= desk.now)
             .filter(|p| {
                 let row = desk.row(p.profile);
                 let reach = match (row.effect, p.exposed) {
@@ -548,9 +473,7 @@
         }
         let mut best: Option<(f64, TargetId)> = None;
         for (target, card) in &self.cards {
-            let Some(gate) = self.gates.get_mut(&self.apart.then_some(*target)) else {
-                continue;
-            };
+            let Some(gate) = self.gates.get_mut(&self.apart.then_some(*target)) else { continue };
             if card.open == 0 || !card.ready || desk.now < gate.held {
                 continue;
             }
@@ -567,23 +490,17 @@
         let Some((_, target)) = best else { return };
         if let Some((_, gain)) = self.next_for(&self.cards[&target], desk) {
             self.pick = Some(target);
-            desk.post.forwarder.push_back(ForwarderNote::Bid { destination: self.id, gain });
+            desk.tell(ToForwarder::Bid { destination: self.id, gain });
         }
     }
 
     /// Fills one call to the target picked in the bid.
     fn carry(&mut self, desk: &mut Desk) {
         let Some(target) = self.pick.take() else { return };
-        let Some(card) = self.cards.get(&target).cloned() else {
-            return;
-        };
+        let Some(card) = self.cards.get(&target).cloned() else { return };
         for rider in 0..self.per_call {
-            let Some((id, _)) = self.next_for(&card, desk) else {
-                break;
-            };
-            let Some(packet) = self.packets.get_mut(&id) else {
-                break;
-            };
+            let Some((id, _)) = self.next_for(&card, desk) else { break };
+            let Some(packet) = self.packets.get_mut(&id) else { break };
             if rider == 0 {
                 if let Some(gate) = self.gates.get_mut(&self.apart.then_some(target)) {
                     gate.tokens -= 1.0;
@@ -606,23 +523,20 @@
             };
             let limit = limit.map(|l| (l as Micros).max(1).min(packet.expires - desk.now));
             let send = Action::Send { id, target, limit };
-            desk.post.targets.push_back((target, TargetNote::Board));
-            desk.post.forwarder.push_back(ForwarderNote::Do(send));
+            desk.post.targets.push_back((target, ToTarget::Board));
+            desk.act(send);
         }
     }
 }
 
-#[derive(Clone, Copy, PartialEq, Debug)]
+/// Well; set aside (`Probed` once a call may be tried); or taken back cold, since then.
+#[derive(Clone, Copy, PartialEq, Default)]
 enum Health {
+    #[default]
     Well,
-    /// Set aside; `probed` once a probe was answered, so that a call may be tried.
-    Aside {
-        probed: bool,
-    },
-    /// Taken back cold, since then.
-    Warming {
-        since: Micros,
-    },
+    Aside,
+    Probed,
+    Warming(Micros),
 }
 
 /// One call under way; its packets share its fate.
@@ -633,13 +547,13 @@
     judged: bool,
 }
 
+#[derive(Default)]
 struct Target {
     id: TargetId,
     destination: DestinationId,
-    zone: ZoneId,
-    fee: f64,
     per_call: usize,
     standing: Standing,
+    card: Card,
     /// Calls under way; each leaves with its last outcome.
     calls: Vec<Call>,
     /// Successes among the last few outcomes, at most `LAST_FEW`.
@@ -656,48 +570,25 @@
     usual: f64,
     answered: Micros,
     fulfilled: Micros,
-    /// Starts of the two latest calls that were answered.
-    passed: [Micros; 2],
+    /// Start of the latest call that was answered.
+    passed: Micros,
     table: Option<(usize, Micros)>,
     probe_out: bool,
+    deaf: u32,
     next_probe: Micros,
 }
 
 impl Target {
     fn new(id: TargetId, destination: DestinationId, per_call: usize, now: Micros) -> Target {
-        Target {
-            id,
-            destination,
-            zone: ZoneId(0),
-            fee: 0.0,
-            per_call,
-            standing: Standing::Ready,
-            calls: Vec::new(),
-            recent: VecDeque::new(),
-            failures: 0,
-            refusals: 0,
-            health: Health::Well,
-            capacity: 0.0,
-            budget: 0.0,
-            filled: now,
-            mean: 0.0,
-            deviation: 0.0,
-            usual: 0.0,
-            answered: now,
-            fulfilled: 0,
-            passed: [0; 2],
-            table: None,
-            probe_out: false,
-            next_probe: now,
-        }
+        Target { id, destination, per_call, filled: now, answered: now, next_probe: now, ..Target::default() }
     }
 
-    fn read(&mut self, note: TargetNote, desk: &mut Desk) {
+    fn read(&mut self, note: ToTarget, desk: &mut Desk) {
         match note {
-            TargetNote::Listed { zone, standing, fee } => {
-                (self.zone, self.standing, self.fee) = (zone, standing, fee);
+            ToTarget::Listed { zone, standing, fee } => {
+                (self.card.zone, self.standing, self.card.fee) = (zone.0, standing, fee);
             }
-            TargetNote::Board => {
+            ToTarget::Board => {
                 let room = self.per_call;
                 match self.calls.last_mut() {
                     Some(call) if call.sent == desk.now && call.boarded < room => {
@@ -708,16 +599,14 @@
                     _ => {
                         self.calls.push(Call { sent: desk.now, riders: 1, boarded: 1, judged: false });
                         self.budget -= 1.0;
-                        if let Health::Aside { .. } = self.health {
-                            self.health = Health::Aside { probed: false };
+                        if self.health == Health::Probed && desk.terms.may_probe {
+                            self.health = Health::Aside;
                         }
                     }
                 }
             }
-            TargetNote::Over { sent, outcome, took } => {
-                let Some(place) = self.calls.iter().position(|c| c.sent == sent) else {
-                    return;
-                };
+            ToTarget::Over { sent, outcome, took } => {
+                let Some(place) = self.calls.iter().position(|c| c.sent == sent) else { return };
                 let call = &mut self.calls[place];
                 call.riders -= 1;
                 let first = !std::mem::replace(&mut call.judged, true);
@@ -726,30 +615,32 @@
                 }
                 if first {
                     if outcome == Outcome::Delivered {
-                        let [last, before] = self.passed;
-                        self.passed = [last.max(sent), before.max(last.min(sent))];
+                        self.card.passed = self.card.passed.max(self.passed.min(sent));
+                        self.passed = self.passed.max(sent);
                     }
                     self.judge(outcome, took, desk);
                 }
             }
-            TargetNote::Probed { outcome } => {
+            ToTarget::Probed { outcome } => {
                 self.probe_out = false;
-                if let (Health::Aside { .. }, Outcome::Delivered) = (self.health, outcome) {
-                    self.health = Health::Aside { probed: true };
+                // Guards against probes that fail where calls would not: some packet tries in their stead.
+                self.deaf = if outcome == Outcome::Delivered { 0 } else { self.deaf + 1 };
+                if self.health == Health::Aside && self.deaf % DEAF_PROBES == 0 {
+                    self.health = Health::Probed;
                 }
             }
-            TargetNote::Sibling => {
+            ToTarget::Sibling => {
                 if self.failures + self.refusals > 0 {
                     self.set_aside("a sibling fails too", desk);
                 }
             }
-            TargetNote::Tick { capacity, held } => {
+            ToTarget::Tick { capacity, held } => {
                 self.capacity = capacity;
                 self.tick(held, desk);
             }
         }
-        let card = self.card(desk);
-        desk.post.destinations.push_back((self.destination, DestinationNote::Card { target: self.id, card }));
+        let card = self.card();
+        desk.post.destinations.push_back((self.destination, ToDestination::Card { target: self.id, card }));
     }
 
     fn judge(&mut self, outcome: Outcome, took: Micros, desk: &mut Desk) {
@@ -783,8 +674,8 @@
             self.fulfilled = desk.now;
             (self.failures, self.refusals) = (0, 0);
             self.learn(took as f64);
-            if let Health::Aside { .. } = self.health {
-                self.health = Health::Warming { since: desk.now };
+            if self.aside() {
+                self.health = Health::Warming(desk.now);
                 self.recent.clear();
                 self.log("taken back: it answers", desk);
             }
@@ -811,18 +702,18 @@
     }
 
     fn set_aside(&mut self, why: &str, desk: &mut Desk) {
-        if !matches!(self.health, Health::Aside { .. }) {
+        if !self.aside() {
             self.log(&format!("set aside: {why}"), desk);
             self.budget = 0.0;
             self.next_probe = desk.now;
         }
-        self.health = Health::Aside { probed: !desk.terms.may_probe };
+        self.health = if desk.terms.may_probe { Health::Aside } else { Health::Probed };
         self.recent.clear();
     }
 
     fn log(&self, what: &str, desk: &mut Desk) {
         let line = format!("destination {} target {:?} {what}", self.destination.0, self.id.address);
-        desk.post.forwarder.push_back(ForwarderNote::Do(Action::Log(line)));
+        desk.act(Action::Log(line));
     }
 
     /// Calls a second that it may get from this forwarder while it may be cold, if that binds.
@@ -833,8 +724,8 @@
         let rules = &terms.rules;
         let warmth = match self.health {
             Health::Well => return None,
-            Health::Aside { .. } => 0.0,
-            Health::Warming { since } => (now - since) as f64 / rules.warm_after.max(1) as f64,
+            Health::Aside | Health::Probed => 0.0,
+            Health::Warming(since) => (now - since) as f64 / rules.warm_after.max(1) as f64,
         };
         let present = self.capacity * (rules.cold_from + (1.0 - rules.cold_from) * warmth.min(1.0));
         let part = COLD_MARGIN * rules.fall_multiple * present / f64::from(terms.forwarders.max(1));
@@ -847,7 +738,7 @@
         if let Some(rate) = self.cold_rate(desk.now, desk.terms) {
             self.budget = (self.budget + rate * passed).min(1.0);
         }
-        if let Health::Warming { since } = self.health {
+        if let Health::Warming(since) = self.health {
             if desk.now >= since + desk.terms.rules.warm_after {
                 self.health = Health::Well;
             }
@@ -863,16 +754,20 @@
         if self.health == Health::Well && self.calls.iter().filter(still).count() >= 2 {
             self.set_aside("it keeps silent", desk);
         }
-        let aside = self.health == Health::Aside { probed: false };
+        let aside = self.health == Health::Aside;
         let free = self.standing == Standing::Ready && !self.probe_out && !held;
         if aside && free && desk.terms.may_probe && desk.now >= self.next_probe && self.budget >= 1.0 {
             self.probe_out = true;
             self.budget -= 1.0;
             self.next_probe = desk.now + PROBE_GAP + (PROBE_GAP as f64 * JITTER * desk.chance()) as Micros;
-            desk.post.forwarder.push_back(ForwarderNote::Do(Action::Probe { target: self.id }));
+            desk.act(Action::Probe { target: self.id });
         }
     }
 
+    fn aside(&self) -> bool {
+        matches!(self.health, Health::Aside | Health::Probed)
+    }
+
     fn places(&self) -> usize {
         if self.usual == 0.0 {
             return FIRST_PLACES;
@@ -880,31 +775,27 @@
         1 + (PLACES * self.capacity * self.usual / SECOND).ceil() as usize
     }
 
-    fn card(&self, desk: &Desk) -> Card {
+    fn card(&mut self) -> Card {
         let room = self.places().min(self.table.map_or(usize::MAX, |t| t.0)).saturating_sub(self.calls.len());
         let cold = self.budget.max(0.0) as usize;
         let open = match self.health {
             Health::Well => room,
-            Health::Aside { probed } if probed || !desk.terms.may_probe => room.min(cold).min(1),
-            Health::Aside { .. } => 0,
-            Health::Warming { .. } => room.min(cold),
+            Health::Aside => 0,
+            Health::Probed => room.min(cold).min(1),
+            Health::Warming(_) => room.min(cold),
         };
-        let failed = self.recent.iter().filter(|s| !**s).count();
+        let (aside, failed) = (self.aside(), self.recent.iter().filter(|s| !**s).count());
         let slow = self.mean > SLOW * self.usual;
-        let aside = matches!(self.health, Health::Aside { .. });
-        Card {
-            zone: self.zone.0,
-            fee: self.fee,
-            open,
-            calls: self.calls.len(),
-            ready: self.standing == Standing::Ready,
-            aside,
-            troubled: aside || slow || failed >= TROUBLED_FAILURES,
-            clean: !aside && self.failures == 0 && failed < TROUBLED_FAILURES,
-            answer_time: self.mean,
-            trip_time: (self.mean + TAIL * self.deviation).max(SILENCE as f64),
-            passed: self.passed[1],
-        }
+        let card = &mut self.card;
+        card.open = open;
+        card.calls = self.calls.len();
+        card.ready = self.standing == Standing::Ready;
+        card.aside = aside;
+        card.troubled = aside || slow || failed >= TROUBLED_FAILURES;
+        card.clean = !aside && self.failures == 0 && failed < TROUBLED_FAILURES;
+        card.answer_time = self.mean;
+        card.trip_time = (self.mean + TAIL * self.deviation).max(SILENCE as f64);
+        card.clone()
     }
 }
 
@@ -923,7 +814,6 @@
 
 pub struct Forwarder {
     terms: TermsOfCarriage,
-    rows: Vec<Row>,
     rng: Pcg64Mcg,
     post: Post,
     /// Where each packet is; an entry leaves with the packet.
@@ -944,35 +834,17 @@
 }
 
 impl Forwarder {
-    pub fn new(terms: TermsOfCarriage, seed: u64) -> Forwarder {
-        let mut rows: Vec<Row> = terms
-            .profiles
-            .iter()
-            .map(|p| Row {
-                effect: p.effect,
-                contract_time: p.contract_time as f64,
-                expiry: p.expiry,
-                importance: p.importance,
-                late_share: p.late_share,
-                in_order: p.in_order,
-            })
-            .collect();
-        if rows.is_empty() {
-            let effect = Effect::Binding;
-            let (contract_time, expiry) = (SECOND, SECOND as Micros);
-            rows.push(Row {
-                effect,
-                contract_time,
-                expiry,
-                importance: 1.0,
-                late_share: 0.0,
-                in_order: false,
-            });
+    pub fn new(mut terms: TermsOfCarriage, seed: u64) -> Forwarder {
+        if terms.profiles.is_empty() {
+            // A packet of an unknown profile is taken as the last one told; where none is, as the most delicate.
+            let (effect, contract_time, expiry) = (Effect::Binding, SECOND as Micros, SECOND as Micros);
+            let (importance, late_share, in_order) = (1.0, 0.0, false);
+            terms.profiles =
+                vec![ProfileTerms { effect, contract_time, expiry, importance, late_share, in_order }];
         }
         let shares = terms.tenants.iter().map(|_| Share { left: f64::MAX, filled: 0 }).collect();
         Forwarder {
             terms,
-            rows,
             rng: Pcg64Mcg::seed_from_u64(seed),
             post: Post::default(),
             book: BTreeMap::new(),
@@ -1004,20 +876,20 @@
                     self.destinations.get(d)?.packets.get(&id)?.out.filter(|o| o.0 == target)
                 });
                 if let (Some((_, sent)), Some((destination, _))) = (sent, self.book.get(&id)) {
-                    self.post.targets.push_back((target, TargetNote::Over { sent, outcome, took }));
+                    self.post.targets.push_back((target, ToTarget::Over { sent, outcome, took }));
                     self.post
                         .destinations
-                        .push_back((*destination, DestinationNote::Over { id, outcome, closed }));
+                        .push_back((*destination, ToDestination::Over { id, outcome, closed }));
                 }
             }
             Event::Withdrawn { id } => {
                 if let Some((destination, _)) = self.book.get(&id) {
-                    self.post.destinations.push_back((*destination, DestinationNote::Withdrawn(id)));
+                    self.post.destinations.push_back((*destination, ToDestination::Withdrawn(id)));
                 }
             }
             Event::ProbeAnswered { target, outcome, report, .. } => {
                 self.report(target, &report);
-                self.post.targets.push_back((target, TargetNote::Probed { outcome }));
+                self.post.targets.push_back((target, ToTarget::Probed { outcome }));
             }
             Event::Alarm { .. } => {
                 self.woken = false;
@@ -1036,29 +908,30 @@
     fn tick(&mut self, now: Micros) {
         let lossy = self.lost > LOSSY;
         for id in self.destinations.keys() {
-            self.post.destinations.push_back((*id, DestinationNote::Tick { lossy }));
+            self.post.destinations.push_back((*id, ToDestination::Tick { lossy }));
         }
         let kept = ((f64::from(self.terms.room) * ROOM_KEPT).ceil() as usize).max(1);
         let most = (self.terms.room as usize).saturating_sub(kept).max(1);
         if self.book.len() > most {
             if let Some((longest, _)) = self.states.iter().max_by_key(|(_, (_, _, waiting))| *waiting) {
                 let notes = self.book.len() - most;
-                (0..notes).for_each(|_| self.post.destinations.push_back((*longest, DestinationNote::Shed)));
+                (0..notes).for_each(|_| self.post.destinations.push_back((*longest, ToDestination::Shed)));
             }
         }
         self.turns.retain(|_, t| !t.line.is_empty() || t.rest > now);
-        for turns in self.turns.values().filter(|t| t.rest <= now) {
-            if let Some((id, destination)) = turns.line.front() {
-                self.post.destinations.push_back((*destination, DestinationNote::Turn(*id)));
-            }
+        for key in self.turns.keys().copied().collect::<Vec<_>>() {
+            self.pass_turn(now, Some(key));
+        }
+        let (post, over) = (&mut self.post, |t: &Target| t.standing == Standing::Gone && t.calls.is_empty());
+        for (id, target) in self.targets.extract_if(.., |_, t| over(t)) {
+            post.destinations.push_back((target.destination, ToDestination::Left(id)));
         }
-        self.targets.retain(|_, t| t.standing != Standing::Gone || !t.calls.is_empty());
     }
 
     fn report(&mut self, target: TargetId, report: &[f32]) {
         let limit = self.terms.report_limit.and_then(|at| report.get(at));
         if let (Some(limit), Some(t)) = (limit, self.targets.get(&target)) {
-            let note = DestinationNote::Told { target, limit: f64::from(*limit) };
+            let note = ToDestination::Told { target, limit: f64::from(*limit) };
             self.post.destinations.push_back((t.destination, note));
         }
     }
@@ -1095,20 +968,18 @@
     }
 
     fn listed(&mut self, target: TargetId, zone: ZoneId, standing: Standing, rate: f64) {
-        let Some(t) = self.targets.get(&target) else {
-            return;
-        };
+        let Some(t) = self.targets.get(&target) else { return };
         let apart = self.destinations.get(&t.destination).is_some_and(|d| d.apart);
         let fee = if apart { self.terms.zone_fees.get(zone.0 as usize).copied().unwrap_or(0.0) } else { 0.0 };
-        let gone = standing == Standing::Gone;
-        let note = DestinationNote::Listed { target, rate, gone };
-        self.post.destinations.push_back((t.destination, note));
-        self.post.targets.push_back((target, TargetNote::Listed { zone, standing, fee }));
+        if standing != Standing::Gone {
+            self.post.destinations.push_back((t.destination, ToDestination::Listed { target, rate }));
+        }
+        self.post.targets.push_back((target, ToTarget::Listed { zone, standing, fee }));
     }
 
     fn arrival(&mut self, now: Micros, arrival: Arrival) {
-        let profile = (arrival.profile.0 as usize).min(self.rows.len() - 1);
-        let row = &self.rows[profile];
+        let profile = (arrival.profile.0 as usize).min(self.terms.profiles.len() - 1);
+        let row = &self.terms.profiles[profile];
         let mut worth = row.importance;
         if let (Some(share), Some(tenant)) = (
             self.shares.get_mut(arrival.tenant.0 as usize),
@@ -1132,7 +1003,7 @@
             id: arrival.id,
             profile,
             worth,
-            due: (expires + row.contract_time as Micros).saturating_sub(row.expiry),
+            due: (expires + row.contract_time).saturating_sub(row.expiry),
             expires,
             trips: 0,
             key,
@@ -1149,16 +1020,14 @@
         }
         self.book.insert(arrival.id, (destination, key));
         self.destinations.entry(destination).or_insert_with(|| Destination::new(destination, None));
-        self.post.destinations.push_back((destination, DestinationNote::Take(packet)));
+        self.post.destinations.push_back((destination, ToDestination::Take(packet)));
         self.pass_turn(now, key);
     }
 
     fn pass_turn(&mut self, now: Micros, key: Option<OrderKey>) {
-        let Some(turns) = key.and_then(|k| self.turns.get(&k)) else {
-            return;
-        };
+        let Some(turns) = key.and_then(|k| self.turns.get(&k)) else { return };
         if let (true, Some((id, destination))) = (turns.rest <= now, turns.line.front()) {
-            self.post.destinations.push_back((*destination, DestinationNote::Turn(*id)));
+            self.post.destinations.push_back((*destination, ToDestination::Turn(*id)));
         }
     }
 
@@ -1166,14 +1035,14 @@
     fn settle(&mut self, now: Micros, actions: &mut Vec<Action>) {
         loop {
             if let Some((id, note)) = self.post.targets.pop_front() {
-                let Forwarder { terms, rows, rng, post, targets, .. } = self;
+                let Forwarder { terms, rng, post, targets, .. } = self;
                 if let Some(target) = targets.get_mut(&id) {
-                    target.read(note, &mut Desk { now, terms, rows, rng, post });
+                    target.read(note, &mut Desk { now, terms, rng, post });
                 }
             } else if let Some((id, note)) = self.post.destinations.pop_front() {
-                let Forwarder { terms, rows, rng, post, destinations, .. } = self;
+                let Forwarder { terms, rng, post, destinations, .. } = self;
                 if let Some(destination) = destinations.get_mut(&id) {
-                    destination.read(note, &mut Desk { now, terms, rows, rng, post });
+                    destination.read(note, &mut Desk { now, terms, rng, post });
                 }
             } else if let Some(note) = self.post.forwarder.pop_front() {
                 self.read(now, note, actions);
@@ -1183,10 +1052,10 @@
         }
     }
 
-    fn read(&mut self, now: Micros, note: ForwarderNote, actions: &mut Vec<Action>) {
+    fn read(&mut self, now: Micros, note: ToForwarder, actions: &mut Vec<Action>) {
         match note {
-            ForwarderNote::Do(action) => actions.push(action),
-            ForwarderNote::Ended { id } => {
+            ToForwarder::Do(action) => actions.push(action),
+            ToForwarder::Ended { id } => {
                 if let Some((_, Some(key))) = self.book.remove(&id) {
                     if let Some(turns) = self.turns.get_mut(&key) {
                         turns.line.retain(|(waiting, _)| *waiting != id);
@@ -1194,13 +1063,13 @@
                     self.pass_turn(now, Some(key));
                 }
             }
-            ForwarderNote::Unclear { key } => {
+            ToForwarder::Unclear { key } => {
                 if let Some(turns) = self.turns.get_mut(&key) {
                     turns.rest = turns.rest.max(now + self.terms.rules.order_pause);
                 }
             }
-            ForwarderNote::Bid { destination, gain } => self.bids.push((gain, destination)),
-            ForwarderNote::State { destination, calls, troubled, waiting } => {
+            ToForwarder::Bid { destination, gain } => self.bids.push((gain, destination)),
+            ToForwarder::State { destination, calls, troubled, waiting } => {
                 self.states.insert(destination, (calls, troubled, waiting));
             }
         }
@@ -1219,7 +1088,7 @@
                 return;
             }
             for (id, _) in self.states.iter().filter(|(_, s)| s.2 > 0) {
-                self.post.destinations.push_back((*id, DestinationNote::Offer { free, free_troubled }));
+                self.post.destinations.push_back((*id, ToDestination::Offer { free, free_troubled }));
             }
             self.settle(now, actions);
             let mut bids = std::mem::take(&mut self.bids);
@@ -1234,7 +1103,7 @@
                 }
                 free -= 1;
                 free_troubled -= usize::from(troubled);
-                self.post.destinations.push_back((id, DestinationNote::Award));
+                self.post.destinations.push_back((id, ToDestination::Award));
             }
             self.settle(now, actions);
         }
