--- a/src/rules.rs
+++ b/src/rules.rs
@@ -543,7 +543,6 @@
 struct Call {
     sent: Micros,
     riders: usize,
-    boarded: usize,
     judged: bool,
 }
 
@@ -559,7 +558,6 @@
     /// Successes among the last few outcomes, at most `LAST_FEW`.
     recent: VecDeque<bool>,
     failures: u32,
-    refusals: u32,
     health: Health,
     capacity: f64,
     /// Calls that the cold budget still allows, and when it was last filled.
@@ -569,11 +567,9 @@
     deviation: f64,
     usual: f64,
     answered: Micros,
-    fulfilled: Micros,
     /// Start of the latest call that was answered.
     passed: Micros,
     table: Option<(usize, Micros)>,
-    probe_out: bool,
     deaf: u32,
     next_probe: Micros,
 }
@@ -588,23 +584,19 @@
             ToTarget::Listed { zone, standing, fee } => {
                 (self.card.zone, self.standing, self.card.fee) = (zone.0, standing, fee);
             }
-            ToTarget::Board => {
-                let room = self.per_call;
-                match self.calls.last_mut() {
-                    Some(call) if call.sent == desk.now && call.boarded < room => {
-                        call.riders += 1;
-                        call.boarded += 1;
-                        self.budget -= RIDER;
-                    }
-                    _ => {
-                        self.calls.push(Call { sent: desk.now, riders: 1, boarded: 1, judged: false });
-                        self.budget -= 1.0;
-                        if self.health == Health::Probed && desk.terms.may_probe {
-                            self.health = Health::Aside;
-                        }
+            ToTarget::Board => match self.calls.last_mut() {
+                Some(call) if call.sent == desk.now && call.riders < self.per_call => {
+                    call.riders += 1;
+                    self.budget -= RIDER;
+                }
+                _ => {
+                    self.calls.push(Call { sent: desk.now, riders: 1, judged: false });
+                    self.budget -= 1.0;
+                    if self.health == Health::Probed && desk.terms.may_probe {
+                        self.health = Health::Aside;
                     }
                 }
-            }
+            },
             ToTarget::Over { sent, outcome, took } => {
                 let Some(place) = self.calls.iter().position(|c| c.sent == sent) else { return };
                 let call = &mut self.calls[place];
@@ -622,7 +614,8 @@
                 }
             }
             ToTarget::Probed { outcome } => {
-                self.probe_out = false;
+                self.next_probe =
+                    desk.now + PROBE_GAP + (PROBE_GAP as f64 * JITTER * desk.chance()) as Micros;
                 // Guards against probes that fail where calls would not: some packet tries in their stead.
                 self.deaf = if outcome == Outcome::Delivered { 0 } else { self.deaf + 1 };
                 if self.health == Health::Aside && self.deaf % DEAF_PROBES == 0 {
@@ -630,7 +623,7 @@
                 }
             }
             ToTarget::Sibling => {
-                if self.failures + self.refusals > 0 {
+                if self.failures > 0 {
                     self.set_aside("a sibling fails too", desk);
                 }
             }
@@ -648,17 +641,17 @@
             Outcome::Delivered => true,
             Outcome::Error | Outcome::Timeout | Outcome::Reset => false,
             // Guards against taking a full connection table for an outage: others of our calls got through.
-            Outcome::NoConnection if desk.now < self.fulfilled + 2 * SILENCE => {
+            Outcome::NoConnection if desk.now < self.answered + 2 * SILENCE => {
                 self.table = Some((self.calls.len().max(1), desk.now + TABLE_REST));
                 return;
             }
             Outcome::NoConnection => false,
             Outcome::Full { wait } => {
                 self.answered = desk.now;
-                self.refusals += 1;
+                self.failures += 1;
                 // Guards against a destination that is shut: it refuses all, or for longer than any limit does.
                 let long = wait.is_some_and(|w| w > desk.terms.rules.overload_for);
-                if long || self.refusals >= ASIDE_ROW {
+                if long || self.failures >= ASIDE_ROW {
                     self.set_aside("it refuses all", desk);
                 }
                 return;
@@ -671,8 +664,7 @@
         }
         if success {
             self.answered = desk.now;
-            self.fulfilled = desk.now;
-            (self.failures, self.refusals) = (0, 0);
+            self.failures = 0;
             self.learn(took as f64);
             if self.aside() {
                 self.health = Health::Warming(desk.now);
@@ -755,11 +747,10 @@
             self.set_aside("it keeps silent", desk);
         }
         let aside = self.health == Health::Aside;
-        let free = self.standing == Standing::Ready && !self.probe_out && !held;
+        let free = self.standing == Standing::Ready && !held;
         if aside && free && desk.terms.may_probe && desk.now >= self.next_probe && self.budget >= 1.0 {
-            self.probe_out = true;
             self.budget -= 1.0;
-            self.next_probe = desk.now + PROBE_GAP + (PROBE_GAP as f64 * JITTER * desk.chance()) as Micros;
+            self.next_probe = Micros::MAX; // until this one is answered
             desk.act(Action::Probe { target: self.id });
         }
     }
@@ -792,7 +783,7 @@
         card.ready = self.standing == Standing::Ready;
         card.aside = aside;
         card.troubled = aside || slow || failed >= TROUBLED_FAILURES;
-        card.clean = !aside && self.failures == 0 && failed < TROUBLED_FAILURES;
+        card.clean = !aside && failed < TROUBLED_FAILURES;
         card.answer_time = self.mean;
         card.trip_time = (self.mean + TAIL * self.deviation).max(SILENCE as f64);
         card.clone()
