--- a/src/interface.rs
+++ b/src/interface.rs
@@ -2,7 +2,7 @@
 
 pub type Micros = u64;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct PacketId(pub u32);
 
 /// Four bytes of address and a port, as the front end names the target.
@@ -192,13 +192,14 @@
 }
 
 /// Whether a packet of a profile may run more than once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Effect {
     /// May run again.
     Retriable,
     /// Carries a mark by which the targets of the group know a repeat, for so long.
     Fingerprinted { group: RepeatGroup, window: Micros },
     /// Must never run twice.
+    #[default]
     Binding,
 }
 
@@ -221,7 +222,7 @@
     Halving,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ProfileTerms {
     pub effect: Effect,
     pub contract_time: Micros,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -84,6 +84,15 @@
     targets: VecDeque<(TargetId, ToTarget)>,
 }
 
+impl Post {
+    fn target(&mut self, note: (TargetId, ToTarget)) {
+        self.targets.push_back(note);
+    }
+    fn destination(&mut self, note: (DestinationId, ToDestination)) {
+        self.destinations.push_back(note);
+    }
+}
+
 enum ToForwarder {
     Do(Action),
     Ended { id: PacketId },
@@ -95,14 +104,14 @@
 enum ToDestination {
     Take(Packet),
     Turn(PacketId),
-    Over { id: PacketId, outcome: Outcome, closed: bool },
+    Over { id: PacketId, target: TargetId, outcome: Outcome, took: Micros, closed: bool },
     Withdrawn(PacketId),
     Told { target: TargetId, limit: f64 },
     Listed { target: TargetId, rate: f64 },
     Left(TargetId),
     Card { target: TargetId, card: Card },
     Tick { lossy: bool },
-    Offer { free: usize, free_troubled: usize },
+    Offer,
     Award,
     Shed,
 }
@@ -133,6 +142,7 @@
     passed: Micros,
 }
 
+#[derive(Default)]
 struct Packet {
     id: PacketId,
     profile: usize,
@@ -153,21 +163,14 @@
 impl Packet {
     /// What is left of its worth when it is delivered at `at`.
     fn worth_at(&self, at: f64, row: &ProfileTerms, fading: Fading) -> f64 {
-        let late = at - self.due as f64;
-        if at >= self.expires as f64 {
-            return 0.0;
-        }
-        if late <= 0.0 {
-            return self.worth;
-        }
-        let kept = match fading {
-            Fading::Halving => (-late / (row.contract_time as f64).max(1.0)).exp2().max(row.late_share),
-            Fading::Evenly => {
-                let span = (self.expires.saturating_sub(self.due) as f64).max(1.0);
-                1.0 - (1.0 - row.late_share) * late / span
+        let late = (at - self.due as f64).max(0.0);
+        let span = (self.expires.saturating_sub(self.due) as f64).max(1.0);
+        self.worth
+            * match fading {
+                _ if at >= self.expires as f64 => 0.0,
+                Fading::Halving => (-late / (row.contract_time as f64).max(1.0)).exp2().max(row.late_share),
+                Fading::Evenly => 1.0 - (1.0 - row.late_share) * late / span,
             }
-        };
-        self.worth * kept
     }
 
     /// The last moment at which a further trip is allowed.
@@ -190,14 +193,27 @@
     }
 }
 
+/// Fills with time and is emptied by use.
+#[derive(Default)]
+struct Bucket {
+    left: f64,
+    filled: Micros,
+}
+
+impl Bucket {
+    fn fill(&mut self, now: Micros, rate: f64, most: f64) {
+        let passed = now.saturating_sub(self.filled) as f64 / SECOND;
+        *self = Bucket { left: (self.left + rate * passed).min(most.max(1.0)), filled: now };
+    }
+}
+
 /// Pace and hold of a destination, or of one route where they are apart.
 #[derive(Default)]
 struct Gate {
     listed: f64,
     told: Option<f64>,
     pace: f64,
-    tokens: f64,
-    filled: Micros,
+    tokens: Bucket,
     cut: Micros,
     short: bool,
     held: Micros,
@@ -226,19 +242,18 @@
     }
 
     fn refill(&mut self, now: Micros, terms: &TermsOfCarriage) {
-        let passed = now.saturating_sub(self.filled) as f64 / SECOND;
-        self.filled = now;
         if self.short && now > self.cut + 2 * CUT_REST {
-            let most = MOST_PACE * self.capacity(terms);
-            self.pace = (self.pace + GROWTH * self.even_share(terms) * passed).min(most.max(self.pace));
+            let passed = now.saturating_sub(self.tokens.filled) as f64 / SECOND;
+            let most = self.pace.max(MOST_PACE * self.capacity(terms));
+            self.pace = (self.pace + GROWTH * self.even_share(terms) * passed).min(most);
         }
         self.short = false;
-        self.tokens = (self.tokens + self.pace * passed).min((self.pace * BURST).max(1.0));
+        self.tokens.fill(now, self.pace, self.pace * BURST);
     }
 
     /// Guards against refusals that breed refusals: a destination over its limit gets a slower pace from us.
     fn refused(&mut self, wait: Option<Micros>, desk: &mut Desk) {
-        self.tokens = self.tokens.min(0.0);
+        self.tokens.left = self.tokens.left.min(0.0);
         if desk.now > self.cut + CUT_REST {
             self.cut = desk.now;
             self.pace = (self.pace * CUT).max(LEAST_PACE * self.even_share(desk.terms));
@@ -260,25 +275,24 @@
     gates: BTreeMap<Option<TargetId>, Gate>,
     /// Packets waiting or out; each leaves with its final answer.
     packets: BTreeMap<PacketId, Packet>,
-    waiting: usize,
     pick: Option<TargetId>,
 }
 
 impl Destination {
-    fn new(id: DestinationId, kind: Option<&KindTerms>) -> Destination {
-        Destination {
-            id,
-            apart: kind.is_some_and(|k| k.routes_apart),
-            per_call: kind.map_or(1, |k| k.per_call.max(1) as usize),
-            ..Destination::default()
-        }
+    fn new(id: DestinationId) -> Destination {
+        Destination { id, per_call: 1, ..Destination::default() }
     }
 
     fn read(&mut self, note: ToDestination, desk: &mut Desk) {
         match note {
             ToDestination::Take(packet) => drop(self.packets.insert(packet.id, packet)),
             ToDestination::Turn(id) => drop(self.packets.entry(id).and_modify(|p| p.turn = true)),
-            ToDestination::Over { id, outcome, closed } => self.trip_over(id, outcome, closed, desk),
+            ToDestination::Over { id, target, outcome, took, closed } => {
+                let out = self.packets.get_mut(&id).and_then(|p| p.out.take_if(|o| o.0 == target));
+                let Some((_, sent)) = out else { return };
+                desk.post.target((target, ToTarget::Over { sent, outcome, took }));
+                self.trip_over(id, (target, sent), outcome, closed, desk);
+            }
             ToDestination::Withdrawn(id) => match self.packets.get_mut(&id) {
                 // Its trip still runs: it keeps its turn and its place until the outcome has come.
                 Some(packet) if packet.out.is_some() => packet.over = true,
@@ -298,7 +312,7 @@
             ToDestination::Left(target) => drop(self.cards.remove(&target)),
             ToDestination::Listed { target, rate } => {
                 self.cards.entry(target).or_default();
-                let fresh = Gate { tokens: 1.0, filled: desk.now, ..Gate::default() };
+                let fresh = Gate { tokens: Bucket { left: 1.0, filled: desk.now }, ..Gate::default() };
                 let gate = self.gates.entry(self.apart.then_some(target)).or_insert(fresh);
                 gate.rated(if desk.terms.list_rates == ListRates::Untold { 0.0 } else { rate }, desk.terms);
             }
@@ -306,19 +320,18 @@
                 // One target set aside makes its siblings suspect: most outages take them all.
                 if card.aside && self.cards.get(&target).is_some_and(|old| !old.aside) && !self.apart {
                     for sibling in self.cards.keys().filter(|t| **t != target) {
-                        desk.post.targets.push_back((*sibling, ToTarget::Sibling));
+                        desk.post.target((*sibling, ToTarget::Sibling));
                     }
                 }
                 self.cards.entry(target).and_modify(|old| *old = card);
             }
             ToDestination::Tick { lossy } => self.tick(lossy, desk),
-            ToDestination::Offer { free, free_troubled } => self.bid(free, free_troubled, desk),
+            ToDestination::Offer => self.bid(desk),
             ToDestination::Award => self.carry(desk),
             ToDestination::Shed => self.shed(desk),
         }
         let calls = self.cards.values().map(|c| c.calls).sum();
-        self.waiting = self.line().count();
-        let (destination, waiting, troubled) = (self.id, self.waiting, self.troubled());
+        let (destination, waiting, troubled) = (self.id, self.line().count(), self.troubled());
         desk.tell(ToForwarder::State { destination, calls, troubled, waiting });
     }
 
@@ -339,9 +352,16 @@
         desk.tell(ToForwarder::Ended { id });
     }
 
-    fn trip_over(&mut self, id: PacketId, outcome: Outcome, closed: bool, desk: &mut Desk) {
+    fn trip_over(
+        &mut self,
+        id: PacketId,
+        trip: (TargetId, Micros),
+        outcome: Outcome,
+        closed: bool,
+        desk: &mut Desk,
+    ) {
         let Some(packet) = self.packets.get_mut(&id) else { return };
-        let Some((target, sent)) = packet.out.take() else { return };
+        let (target, sent) = trip;
         let zone = self.cards.get(&target).map_or(0, |c| c.zone);
         if let (Outcome::Timeout | Outcome::Reset | Outcome::CalledOff, Some(key)) = (outcome, packet.key) {
             desk.tell(ToForwarder::Unclear { key });
@@ -369,14 +389,15 @@
     }
 
     fn tick(&mut self, lossy: bool, desk: &mut Desk) {
-        self.gates.retain(|t, gate| t.is_none_or(|t| self.cards.contains_key(&t)) || gate.held > desk.now);
+        let listed = |t: Option<TargetId>| t.map_or(!self.cards.is_empty(), |t| self.cards.contains_key(&t));
+        self.gates.retain(|t, gate| listed(*t) || gate.held > desk.now);
         self.gates.values_mut().for_each(|gate| gate.refill(desk.now, desk.terms));
         let ready = self.cards.values().filter(|c| c.ready).count().max(1) as f64;
         for target in self.cards.keys() {
             let Some(gate) = self.gates.get(&self.apart.then_some(*target)) else { continue };
             let capacity = gate.capacity(desk.terms) / if self.apart { 1.0 } else { ready };
             let note = ToTarget::Tick { capacity, held: desk.now < gate.held };
-            desk.post.targets.push_back((*target, note));
+            desk.post.target((*target, note));
         }
         // The hold that every way to this destination shares, if there is one.
         let held = self.gates.values().map(|g| g.held).min().unwrap_or(0);
@@ -461,11 +482,8 @@
             .map(|(p, loss)| (p.id, loss))
     }
 
-    fn bid(&mut self, free: usize, free_troubled: usize, desk: &mut Desk) {
+    fn bid(&mut self, desk: &mut Desk) {
         self.pick = None;
-        if self.waiting == 0 || free == 0 || (self.troubled() && free_troubled == 0) {
-            return;
-        }
         let share = if self.troubled() { CAP_TROUBLED } else { CAP_WELL };
         let cap = ((share * f64::from(desk.terms.slots)) as usize).max(1);
         if self.cards.values().map(|c| c.calls).sum::<usize>() >= cap {
@@ -477,7 +495,7 @@
             if card.open == 0 || !card.ready || desk.now < gate.held {
                 continue;
             }
-            if gate.tokens < 1.0 {
+            if gate.tokens.left < 1.0 {
                 gate.short = true;
                 continue;
             }
@@ -503,27 +521,24 @@
             let Some(packet) = self.packets.get_mut(&id) else { break };
             if rider == 0 {
                 if let Some(gate) = self.gates.get_mut(&self.apart.then_some(target)) {
-                    gate.tokens -= 1.0;
+                    gate.tokens.left -= 1.0;
                 }
             }
             packet.trips += 1;
             packet.out = Some((target, desk.now));
             packet.called_off = false;
             let row = desk.row(packet.profile);
-            let patience = match desk.terms.may_call_off {
-                true => f64::MAX,
-                false => card.trip_time * f64::from(1u32 << packet.trips.min(8)),
-            };
-            let half = row.expiry as f64 / 2.0;
+            let patience = card.trip_time * f64::from(1u32 << packet.trips.min(8));
+            let most = if desk.terms.may_call_off { f64::MAX } else { patience }.min(row.expiry as f64 / 2.0);
             let limit = match row.effect {
                 // A binding packet is lost with its trip: an early time-out gains nothing.
                 Effect::Binding => None,
-                Effect::Retriable => Some(patience.min(half)),
-                Effect::Fingerprinted { window, .. } => Some(patience.min(half).min(window as f64 / 2.0)),
+                Effect::Retriable => Some(most as Micros),
+                Effect::Fingerprinted { window, .. } => Some((most as Micros).min(window / 2)),
             };
-            let limit = limit.map(|l| (l as Micros).max(1).min(packet.expires - desk.now));
+            let limit = limit.map(|l| l.clamp(1, packet.expires - desk.now));
             let send = Action::Send { id, target, limit };
-            desk.post.targets.push_back((target, ToTarget::Board));
+            desk.post.target((target, ToTarget::Board));
             desk.act(send);
         }
     }
@@ -560,9 +575,8 @@
     failures: u32,
     health: Health,
     capacity: f64,
-    /// Calls that the cold budget still allows, and when it was last filled.
-    budget: f64,
-    filled: Micros,
+    /// Calls that the cold budget still allows.
+    budget: Bucket,
     mean: f64,
     deviation: f64,
     usual: f64,
@@ -576,7 +590,7 @@
 
 impl Target {
     fn new(id: TargetId, destination: DestinationId, per_call: usize, now: Micros) -> Target {
-        Target { id, destination, per_call, filled: now, answered: now, next_probe: now, ..Target::default() }
+        Target { id, destination, per_call, answered: now, next_probe: now, ..Target::default() }
     }
 
     fn read(&mut self, note: ToTarget, desk: &mut Desk) {
@@ -587,11 +601,11 @@
             ToTarget::Board => match self.calls.last_mut() {
                 Some(call) if call.sent == desk.now && call.riders < self.per_call => {
                     call.riders += 1;
-                    self.budget -= RIDER;
+                    self.budget.left -= RIDER;
                 }
                 _ => {
                     self.calls.push(Call { sent: desk.now, riders: 1, judged: false });
-                    self.budget -= 1.0;
+                    self.budget.left -= 1.0;
                     if self.health == Health::Probed && desk.terms.may_probe {
                         self.health = Health::Aside;
                     }
@@ -633,51 +647,39 @@
             }
         }
         let card = self.card();
-        desk.post.destinations.push_back((self.destination, ToDestination::Card { target: self.id, card }));
+        desk.post.destination((self.destination, ToDestination::Card { target: self.id, card }));
     }
 
     fn judge(&mut self, outcome: Outcome, took: Micros, desk: &mut Desk) {
-        let success = match outcome {
-            Outcome::Delivered => true,
-            Outcome::Error | Outcome::Timeout | Outcome::Reset => false,
+        match outcome {
             // Guards against taking a full connection table for an outage: others of our calls got through.
             Outcome::NoConnection if desk.now < self.answered + 2 * SILENCE => {
                 self.table = Some((self.calls.len().max(1), desk.now + TABLE_REST));
                 return;
             }
-            Outcome::NoConnection => false,
-            Outcome::Full { wait } => {
-                self.answered = desk.now;
-                self.failures += 1;
-                // Guards against a destination that is shut: it refuses all, or for longer than any limit does.
-                let long = wait.is_some_and(|w| w > desk.terms.rules.overload_for);
-                if long || self.failures >= ASIDE_ROW {
-                    self.set_aside("it refuses all", desk);
+            Outcome::CalledOff | Outcome::Moot { .. } => return,
+            Outcome::Delivered => {
+                (self.answered, self.failures) = (desk.now, 0);
+                self.learn(took as f64);
+                if self.aside() {
+                    self.health = Health::Warming(desk.now);
+                    self.recent.clear();
+                    self.log("taken back: it answers", desk);
                 }
-                return;
             }
-            Outcome::CalledOff | Outcome::Moot { .. } => return,
-        };
-        self.recent.push_back(success);
-        if self.recent.len() > LAST_FEW {
-            self.recent.pop_front();
+            Outcome::Full { .. } => (self.answered, self.failures) = (desk.now, self.failures + 1),
+            _ => self.failures += 1,
         }
-        if success {
-            self.answered = desk.now;
-            self.failures = 0;
-            self.learn(took as f64);
-            if self.aside() {
-                self.health = Health::Warming(desk.now);
-                self.recent.clear();
-                self.log("taken back: it answers", desk);
-            }
-            return;
+        if !matches!(outcome, Outcome::Full { .. }) {
+            self.recent.push_front(outcome == Outcome::Delivered);
+            self.recent.truncate(LAST_FEW);
         }
-        self.failures += 1;
+        // Guards against a destination that is shut: it refuses all, or for longer than any limit does.
+        let shut = matches!(outcome, Outcome::Full { wait: Some(w) } if w > desk.terms.rules.overload_for);
         let successes = self.recent.iter().filter(|s| **s).count();
         let most_fail = self.recent.len() == LAST_FEW && successes < ASIDE_SUCCESSES;
-        if self.failures >= ASIDE_ROW || most_fail {
-            self.set_aside("most calls fail", desk);
+        if shut || self.failures >= ASIDE_ROW || most_fail {
+            self.set_aside(if shut { "it is shut" } else { "most calls fail" }, desk);
         }
     }
 
@@ -696,7 +698,7 @@
     fn set_aside(&mut self, why: &str, desk: &mut Desk) {
         if !self.aside() {
             self.log(&format!("set aside: {why}"), desk);
-            self.budget = 0.0;
+            self.budget.left = 0.0;
             self.next_probe = desk.now;
         }
         self.health = if desk.terms.may_probe { Health::Aside } else { Health::Probed };
@@ -704,32 +706,28 @@
     }
 
     fn log(&self, what: &str, desk: &mut Desk) {
-        let line = format!("destination {} target {:?} {what}", self.destination.0, self.id.address);
-        desk.act(Action::Log(line));
+        let [a, b, c, d] = self.id.address;
+        desk.act(Action::Log(format!("destination {} target {a}.{b}.{c}.{d} {what}", self.destination.0)));
     }
 
-    /// Calls a second that it may get from this forwarder while it may be cold, if that binds.
+    /// Calls a second that it may get from this forwarder while it may be cold.
     ///
     /// Guards a returning destination against being pushed over: the return is not seen, so the share of the cold
     /// budget holds from the moment it is set aside, and grows only from the first answer.
-    fn cold_rate(&self, now: Micros, terms: &TermsOfCarriage) -> Option<f64> {
+    fn cold_rate(&self, now: Micros, terms: &TermsOfCarriage) -> f64 {
         let rules = &terms.rules;
         let warmth = match self.health {
-            Health::Well => return None,
+            Health::Well => return 0.0,
             Health::Aside | Health::Probed => 0.0,
             Health::Warming(since) => (now - since) as f64 / rules.warm_after.max(1) as f64,
         };
         let present = self.capacity * (rules.cold_from + (1.0 - rules.cold_from) * warmth.min(1.0));
         let part = COLD_MARGIN * rules.fall_multiple * present / f64::from(terms.forwarders.max(1));
-        Some(part.max(COLD_FLOOR * SECOND / rules.overload_for.max(1) as f64))
+        part.max(COLD_FLOOR * SECOND / rules.overload_for.max(1) as f64)
     }
 
     fn tick(&mut self, held: bool, desk: &mut Desk) {
-        let passed = desk.now.saturating_sub(self.filled) as f64 / SECOND;
-        self.filled = desk.now;
-        if let Some(rate) = self.cold_rate(desk.now, desk.terms) {
-            self.budget = (self.budget + rate * passed).min(1.0);
-        }
+        self.budget.fill(desk.now, self.cold_rate(desk.now, desk.terms), 1.0);
         if let Health::Warming(since) = self.health {
             if desk.now >= since + desk.terms.rules.warm_after {
                 self.health = Health::Well;
@@ -748,8 +746,8 @@
         }
         let aside = self.health == Health::Aside;
         let free = self.standing == Standing::Ready && !held;
-        if aside && free && desk.terms.may_probe && desk.now >= self.next_probe && self.budget >= 1.0 {
-            self.budget -= 1.0;
+        if aside && free && desk.terms.may_probe && desk.now >= self.next_probe && self.budget.left >= 1.0 {
+            self.budget.left -= 1.0;
             self.next_probe = Micros::MAX; // until this one is answered
             desk.act(Action::Probe { target: self.id });
         }
@@ -768,7 +766,7 @@
 
     fn card(&mut self) -> Card {
         let room = self.places().min(self.table.map_or(usize::MAX, |t| t.0)).saturating_sub(self.calls.len());
-        let cold = self.budget.max(0.0) as usize;
+        let cold = self.budget.left.max(0.0) as usize;
         let open = match self.health {
             Health::Well => room,
             Health::Aside => 0,
@@ -790,12 +788,6 @@
     }
 }
 
-/// A tenant's share as seen here: calls within it that are still left.
-struct Share {
-    left: f64,
-    filled: Micros,
-}
-
 /// The packets of one order key, in the order in which they were taken.
 #[derive(Default)]
 struct Turns {
@@ -809,12 +801,14 @@
     post: Post,
     /// Where each packet is; an entry leaves with the packet.
     book: BTreeMap<PacketId, (DestinationId, Option<OrderKey>)>,
+    /// Emptied of those without targets, packets and holds.
     destinations: BTreeMap<DestinationId, Destination>,
     /// Emptied of targets that are gone and have no call left.
     targets: BTreeMap<TargetId, Target>,
     /// Emptied of a key once its line is empty and its rest over.
     turns: BTreeMap<OrderKey, Turns>,
-    shares: Vec<Share>,
+    /// What is left of each tenant's share.
+    shares: Vec<Bucket>,
     /// Calls out, trouble and line of each destination, as it last told.
     states: BTreeMap<DestinationId, (usize, bool, usize)>,
     bids: Vec<(f64, DestinationId)>,
@@ -827,13 +821,9 @@
 impl Forwarder {
     pub fn new(mut terms: TermsOfCarriage, seed: u64) -> Forwarder {
         if terms.profiles.is_empty() {
-            // A packet of an unknown profile is taken as the last one told; where none is, as the most delicate.
-            let (effect, contract_time, expiry) = (Effect::Binding, SECOND as Micros, SECOND as Micros);
-            let (importance, late_share, in_order) = (1.0, 0.0, false);
-            terms.profiles =
-                vec![ProfileTerms { effect, contract_time, expiry, importance, late_share, in_order }];
+            terms.profiles.push(ProfileTerms::default());
         }
-        let shares = terms.tenants.iter().map(|_| Share { left: f64::MAX, filled: 0 }).collect();
+        let shares = terms.tenants.iter().map(|_| Bucket { left: f64::MAX, filled: 0 }).collect();
         Forwarder {
             terms,
             rng: Pcg64Mcg::seed_from_u64(seed),
@@ -863,24 +853,19 @@
                 let lost = f64::from(u8::from(outcome == Outcome::CalledOff));
                 self.lost += NEW_LOST * (lost - self.lost);
                 self.report(target, &report);
-                let sent = self.book.get(&id).and_then(|(d, _)| {
-                    self.destinations.get(d)?.packets.get(&id)?.out.filter(|o| o.0 == target)
-                });
-                if let (Some((_, sent)), Some((destination, _))) = (sent, self.book.get(&id)) {
-                    self.post.targets.push_back((target, ToTarget::Over { sent, outcome, took }));
-                    self.post
-                        .destinations
-                        .push_back((*destination, ToDestination::Over { id, outcome, closed }));
+                if let Some((destination, _)) = self.book.get(&id) {
+                    let note = ToDestination::Over { id, target, outcome, took, closed };
+                    self.post.destination((*destination, note));
                 }
             }
             Event::Withdrawn { id } => {
                 if let Some((destination, _)) = self.book.get(&id) {
-                    self.post.destinations.push_back((*destination, ToDestination::Withdrawn(id)));
+                    self.post.destination((*destination, ToDestination::Withdrawn(id)));
                 }
             }
             Event::ProbeAnswered { target, outcome, report, .. } => {
                 self.report(target, &report);
-                self.post.targets.push_back((target, ToTarget::Probed { outcome }));
+                self.post.target((target, ToTarget::Probed { outcome }));
             }
             Event::Alarm { .. } => {
                 self.woken = false;
@@ -897,16 +882,18 @@
     }
 
     fn tick(&mut self, now: Micros) {
+        self.destinations.retain(|_, d| !(d.cards.is_empty() && d.packets.is_empty() && d.gates.is_empty()));
+        self.states.retain(|id, _| self.destinations.contains_key(id));
         let lossy = self.lost > LOSSY;
         for id in self.destinations.keys() {
-            self.post.destinations.push_back((*id, ToDestination::Tick { lossy }));
+            self.post.destination((*id, ToDestination::Tick { lossy }));
         }
         let kept = ((f64::from(self.terms.room) * ROOM_KEPT).ceil() as usize).max(1);
         let most = (self.terms.room as usize).saturating_sub(kept).max(1);
         if self.book.len() > most {
             if let Some((longest, _)) = self.states.iter().max_by_key(|(_, (_, _, waiting))| *waiting) {
                 let notes = self.book.len() - most;
-                (0..notes).for_each(|_| self.post.destinations.push_back((*longest, ToDestination::Shed)));
+                (0..notes).for_each(|_| self.post.destination((*longest, ToDestination::Shed)));
             }
         }
         self.turns.retain(|_, t| !t.line.is_empty() || t.rest > now);
@@ -915,7 +902,7 @@
         }
         let (post, over) = (&mut self.post, |t: &Target| t.standing == Standing::Gone && t.calls.is_empty());
         for (id, target) in self.targets.extract_if(.., |_, t| over(t)) {
-            post.destinations.push_back((target.destination, ToDestination::Left(id)));
+            post.destination((target.destination, ToDestination::Left(id)));
         }
     }
 
@@ -923,7 +910,7 @@
         let limit = self.terms.report_limit.and_then(|at| report.get(at));
         if let (Some(limit), Some(t)) = (limit, self.targets.get(&target)) {
             let note = ToDestination::Told { target, limit: f64::from(*limit) };
-            self.post.destinations.push_back((t.destination, note));
+            self.post.destination((t.destination, note));
         }
     }
 
@@ -945,7 +932,7 @@
             let kind = self.terms.kinds.get(entry.kind.0 as usize).or(self.terms.kinds.last());
             let per_call = kind.map_or(1, |k| k.per_call.max(1) as usize);
             let d = entry.destination;
-            let destination = self.destinations.entry(d).or_insert_with(|| Destination::new(d, kind));
+            let destination = self.destinations.entry(d).or_insert_with(|| Destination::new(d));
             if destination.cards.is_empty() {
                 (destination.apart, destination.per_call) = (kind.is_some_and(|k| k.routes_apart), per_call);
             }
@@ -963,62 +950,44 @@
         let apart = self.destinations.get(&t.destination).is_some_and(|d| d.apart);
         let fee = if apart { self.terms.zone_fees.get(zone.0 as usize).copied().unwrap_or(0.0) } else { 0.0 };
         if standing != Standing::Gone {
-            self.post.destinations.push_back((t.destination, ToDestination::Listed { target, rate }));
+            self.post.destination((t.destination, ToDestination::Listed { target, rate }));
         }
-        self.post.targets.push_back((target, ToTarget::Listed { zone, standing, fee }));
+        self.post.target((target, ToTarget::Listed { zone, standing, fee }));
     }
 
     fn arrival(&mut self, now: Micros, arrival: Arrival) {
         let profile = (arrival.profile.0 as usize).min(self.terms.profiles.len() - 1);
         let row = &self.terms.profiles[profile];
         let mut worth = row.importance;
-        if let (Some(share), Some(tenant)) = (
-            self.shares.get_mut(arrival.tenant.0 as usize),
-            self.terms.tenants.get(arrival.tenant.0 as usize),
-        ) {
+        let tenant = arrival.tenant.0 as usize;
+        if let (Some(share), Some(told)) = (self.shares.get_mut(tenant), self.terms.tenants.get(tenant)) {
             // Traffic over a tenant's share is worth little: its part here is taken as an even one.
-            let rate = tenant.quota / f64::from(self.terms.forwarders.max(1));
-            let passed = now.saturating_sub(share.filled) as f64 / SECOND;
-            share.left = (share.left + rate * passed).min((rate * SHARE_BURST).max(1.0));
-            share.filled = now;
-            if share.left >= 1.0 {
-                share.left -= 1.0;
-            } else {
-                worth *= self.terms.over_share_worth;
+            let rate = told.quota / f64::from(self.terms.forwarders.max(1));
+            share.fill(now, rate, rate * SHARE_BURST);
+            match share.left >= 1.0 {
+                true => share.left -= 1.0,
+                false => worth *= self.terms.over_share_worth,
             }
         }
         let key = arrival.key.filter(|_| row.in_order);
         let expires = now + arrival.left;
         let destination = arrival.destination;
-        let packet = Packet {
-            id: arrival.id,
-            profile,
-            worth,
-            due: (expires + row.contract_time).saturating_sub(row.expiry),
-            expires,
-            trips: 0,
-            key,
-            turn: key.is_none(),
-            exposed: None,
-            ready_at: now,
-            out: None,
-            called_off: false,
-            over: false,
-        };
+        let due = (expires + row.contract_time).saturating_sub(row.expiry);
+        let (id, turn, ready_at) = (arrival.id, key.is_none(), now);
+        let packet = Packet { id, profile, worth, due, expires, key, turn, ready_at, ..Packet::default() };
         if let Some(key) = key {
-            let turns = self.turns.entry(key).or_default();
-            turns.line.push_back((arrival.id, destination));
+            self.turns.entry(key).or_default().line.push_back((id, destination));
         }
-        self.book.insert(arrival.id, (destination, key));
-        self.destinations.entry(destination).or_insert_with(|| Destination::new(destination, None));
-        self.post.destinations.push_back((destination, ToDestination::Take(packet)));
+        self.book.insert(id, (destination, key));
+        self.destinations.entry(destination).or_insert_with(|| Destination::new(destination));
+        self.post.destination((destination, ToDestination::Take(packet)));
         self.pass_turn(now, key);
     }
 
     fn pass_turn(&mut self, now: Micros, key: Option<OrderKey>) {
         let Some(turns) = key.and_then(|k| self.turns.get(&k)) else { return };
         if let (true, Some((id, destination))) = (turns.rest <= now, turns.line.front()) {
-            self.post.destinations.push_back((*destination, ToDestination::Turn(*id)));
+            self.post.destination((*destination, ToDestination::Turn(*id)));
         }
     }
 
@@ -1075,18 +1044,13 @@
             let out_troubled: usize = self.states.values().filter(|s| s.1).map(|s| s.0).sum();
             let mut free = slots.saturating_sub(out);
             let mut free_troubled = troubled_cap.saturating_sub(out_troubled).min(free);
-            if free == 0 {
-                return;
-            }
             for (id, _) in self.states.iter().filter(|(_, s)| s.2 > 0) {
-                self.post.destinations.push_back((*id, ToDestination::Offer { free, free_troubled }));
+                self.post.destination((*id, ToDestination::Offer));
             }
             self.settle(now, actions);
             let mut bids = std::mem::take(&mut self.bids);
-            if bids.is_empty() {
-                return;
-            }
             bids.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+            let before = free;
             for (_, id) in bids {
                 let troubled = self.states.get(&id).is_some_and(|s| s.1);
                 if free == 0 || (troubled && free_troubled == 0) {
@@ -1094,7 +1058,10 @@
                 }
                 free -= 1;
                 free_troubled -= usize::from(troubled);
-                self.post.destinations.push_back((id, ToDestination::Award));
+                self.post.destination((id, ToDestination::Award));
+            }
+            if free == before {
+                return;
             }
             self.settle(now, actions);
         }
