--- a/src/rules.rs
+++ b/src/rules.rs
@@ -35,7 +35,6 @@
 const LOSSY_HASTE: f64 = 0.3; // of the patience, while trips get lost: a loss is likelier than a slow answer
 const PLACES: f64 = 2.0; // calls at once, times what the listed rate keeps busy: as many again in its queue
 const FIRST_PLACES: usize = 4; // calls at once, before the first answer: enough to learn from
-const TABLE_REST: Micros = 5_000_000; // µs until one call more after a full connection table: idle ones close
 const FIRST_PACE: f64 = 1.25; // even shares of the listed rate, at start: shares are not quite even
 const LEAST_PACE: f64 = 0.5; // even shares, the slowest pace: refusals may be others' doing
 const MOST_PACE: f64 = 1.2; // listed rates, the fastest pace: lists can be rough
@@ -121,7 +120,6 @@
     Board,
     Over { sent: Micros, outcome: Outcome, took: Micros },
     Probed { outcome: Outcome },
-    Sibling,
     Tick { capacity: f64, held: bool },
 }
 
@@ -317,12 +315,6 @@
                 gate.rated(if desk.terms.list_rates == ListRates::Untold { 0.0 } else { rate }, desk.terms);
             }
             ToDestination::Card { target, card } => {
-                // One target set aside makes its siblings suspect: most outages take them all.
-                if card.aside && self.cards.get(&target).is_some_and(|old| !old.aside) && !self.apart {
-                    for sibling in self.cards.keys().filter(|t| **t != target) {
-                        desk.post.target((*sibling, ToTarget::Sibling));
-                    }
-                }
                 self.cards.entry(target).and_modify(|old| *old = card);
             }
             ToDestination::Tick { lossy } => self.tick(lossy, desk),
@@ -583,7 +575,6 @@
     answered: Micros,
     /// Start of the latest call that was answered.
     passed: Micros,
-    table: Option<(usize, Micros)>,
     deaf: u32,
     next_probe: Micros,
 }
@@ -636,11 +627,6 @@
                     self.health = Health::Probed;
                 }
             }
-            ToTarget::Sibling => {
-                if self.failures > 0 {
-                    self.set_aside("a sibling fails too", desk);
-                }
-            }
             ToTarget::Tick { capacity, held } => {
                 self.capacity = capacity;
                 self.tick(held, desk);
@@ -653,10 +639,7 @@
     fn judge(&mut self, outcome: Outcome, took: Micros, desk: &mut Desk) {
         match outcome {
             // Guards against taking a full connection table for an outage: others of our calls got through.
-            Outcome::NoConnection if desk.now < self.answered + 2 * SILENCE => {
-                self.table = Some((self.calls.len().max(1), desk.now + TABLE_REST));
-                return;
-            }
+            Outcome::NoConnection if desk.now < self.answered + 2 * SILENCE => return,
             Outcome::CalledOff | Outcome::Moot { .. } => return,
             Outcome::Delivered => {
                 (self.answered, self.failures) = (desk.now, 0);
@@ -733,11 +716,6 @@
                 self.health = Health::Well;
             }
         }
-        if let Some((cap, until)) = self.table {
-            if desk.now >= until {
-                self.table = (cap < self.places()).then_some((cap + 1, desk.now + TABLE_REST));
-            }
-        }
         // Guards against work sunk into a target that takes calls and answers none.
         let patience = ((self.mean + TAIL * self.deviation) as Micros).max(SILENCE);
         let still = |c: &&Call| c.sent >= self.answered && desk.now > c.sent + patience;
@@ -765,7 +743,7 @@
     }
 
     fn card(&mut self) -> Card {
-        let room = self.places().min(self.table.map_or(usize::MAX, |t| t.0)).saturating_sub(self.calls.len());
+        let room = self.places().saturating_sub(self.calls.len());
         let cold = self.budget.left.max(0.0) as usize;
         let open = match self.health {
             Health::Well => room,
