--- a/src/rules.rs
+++ b/src/rules.rs
@@ -174,7 +174,9 @@
     /// The last moment at which a further trip is allowed.
     fn last_send(&self, row: &ProfileTerms) -> Micros {
         match (row.effect, self.exposed) {
-            (Effect::Fingerprinted { window, .. }, Some((first, _))) => self.expires.min(first + window),
+            (Effect::Fingerprinted { window, .. }, Some((first, _))) => {
+                self.expires.min(first.saturating_add(window))
+            }
             (Effect::Binding, Some(_)) => 0,
             _ => self.expires,
         }
@@ -210,6 +212,7 @@
 struct Gate {
     listed: f64,
     told: Option<f64>,
+    /// Even shares of the capacity that go a second.
     pace: f64,
     tokens: Bucket,
     cut: Micros,
@@ -218,14 +221,6 @@
 }
 
 impl Gate {
-    /// Takes a listed rate; the first one, like the first told limit, sets the pace.
-    fn rated(&mut self, listed: f64, terms: &TermsOfCarriage) {
-        self.listed = listed.max(0.0);
-        if self.pace == 0.0 {
-            self.pace = FIRST_PACE * self.even_share(terms);
-        }
-    }
-
     /// Calls a second that it takes from all forwarders together, as far as is known.
     fn capacity(&self, terms: &TermsOfCarriage) -> f64 {
         match self.told {
@@ -235,18 +230,15 @@
         }
     }
 
-    fn even_share(&self, terms: &TermsOfCarriage) -> f64 {
-        self.capacity(terms) / f64::from(terms.forwarders.max(1))
-    }
-
     fn refill(&mut self, now: Micros, terms: &TermsOfCarriage) {
         if self.short && now > self.cut + 2 * CUT_REST {
+            let most = MOST_PACE * f64::from(terms.forwarders.max(1));
             let passed = now.saturating_sub(self.tokens.filled) as f64 / SECOND;
-            let most = self.pace.max(MOST_PACE * self.capacity(terms));
-            self.pace = (self.pace + GROWTH * self.even_share(terms) * passed).min(most);
+            self.pace = (self.pace + GROWTH * passed).min(most.max(self.pace));
         }
         self.short = false;
-        self.tokens.fill(now, self.pace, self.pace * BURST);
+        let rate = self.pace * self.capacity(terms) / f64::from(terms.forwarders.max(1));
+        self.tokens.fill(now, rate, rate * BURST);
     }
 
     /// Guards against refusals that breed refusals: a destination over its limit gets a slower pace from us.
@@ -254,7 +246,7 @@
         self.tokens.left = self.tokens.left.min(0.0);
         if desk.now > self.cut + CUT_REST {
             self.cut = desk.now;
-            self.pace = (self.pace * CUT).max(LEAST_PACE * self.even_share(desk.terms));
+            self.pace = (self.pace * CUT).max(LEAST_PACE);
         }
         if let Some(wait) = wait {
             self.held = self.held.max(desk.now + wait);
@@ -299,23 +291,21 @@
             },
             ToDestination::Told { target, limit } => {
                 if let Some(gate) = self.gates.get_mut(&self.apart.then_some(target)) {
-                    let first = gate.told.is_none();
-                    gate.told = (limit > 0.0).then_some(limit);
-                    if first && limit > 0.0 {
-                        gate.pace = FIRST_PACE * gate.even_share(desk.terms);
-                    }
+                    gate.told = (limit > 0.0 && limit.is_finite()).then_some(limit);
                 }
             }
             // A gate without its target stays until its hold is over.
             ToDestination::Left(target) => drop(self.cards.remove(&target)),
             ToDestination::Listed { target, rate } => {
                 self.cards.entry(target).or_default();
-                let fresh = Gate { tokens: Bucket { left: 1.0, filled: desk.now }, ..Gate::default() };
-                let gate = self.gates.entry(self.apart.then_some(target)).or_insert(fresh);
-                gate.rated(if desk.terms.list_rates == ListRates::Untold { 0.0 } else { rate }, desk.terms);
+                let tokens = Bucket { left: 1.0, filled: desk.now };
+                let fresh = Gate { pace: FIRST_PACE, tokens, ..Gate::default() };
+                let known = desk.terms.list_rates != ListRates::Untold && rate.is_finite();
+                self.gates.entry(self.apart.then_some(target)).or_insert(fresh).listed =
+                    if known { rate } else { 0.0 };
             }
             ToDestination::Card { target, card } => {
-                self.cards.entry(target).and_modify(|old| *old = card);
+                drop(self.cards.entry(target).and_modify(|old| *old = card))
             }
             ToDestination::Tick { lossy } => self.tick(lossy, desk),
             ToDestination::Offer => self.bid(desk),
@@ -739,7 +729,7 @@
         if self.usual == 0.0 {
             return FIRST_PLACES;
         }
-        1 + (PLACES * self.capacity * self.usual / SECOND).ceil() as usize
+        (1.0 + PLACES * self.capacity * self.usual / SECOND).ceil() as usize
     }
 
     fn card(&mut self) -> Card {
