--- a/src/rules.rs
+++ b/src/rules.rs
@@ -83,15 +83,6 @@
     targets: VecDeque<(TargetId, ToTarget)>,
 }
 
-impl Post {
-    fn target(&mut self, note: (TargetId, ToTarget)) {
-        self.targets.push_back(note);
-    }
-    fn destination(&mut self, note: (DestinationId, ToDestination)) {
-        self.destinations.push_back(note);
-    }
-}
-
 enum ToForwarder {
     Do(Action),
     Ended { id: PacketId },
@@ -160,20 +151,21 @@
 
 impl Packet {
     /// What is left of its worth when it is delivered at `at`.
-    fn worth_at(&self, at: f64, row: &ProfileTerms, fading: Fading) -> f64 {
+    fn worth_at(&self, at: f64, terms: &TermsOfCarriage) -> f64 {
+        let row = &terms.profiles[self.profile];
         let late = (at - self.due as f64).max(0.0);
         let span = (self.expires.saturating_sub(self.due) as f64).max(1.0);
-        self.worth
-            * match fading {
-                _ if at >= self.expires as f64 => 0.0,
-                Fading::Halving => (-late / (row.contract_time as f64).max(1.0)).exp2().max(row.late_share),
-                Fading::Evenly => 1.0 - (1.0 - row.late_share) * late / span,
-            }
+        let kept = match terms.fading {
+            _ if at >= self.expires as f64 => 0.0,
+            Fading::Halving => (-late / (row.contract_time as f64).max(1.0)).exp2().max(row.late_share),
+            Fading::Evenly => 1.0 - (1.0 - row.late_share) * late / span,
+        };
+        self.worth * kept
     }
 
     /// The last moment at which a further trip is allowed.
-    fn last_send(&self, row: &ProfileTerms) -> Micros {
-        match (row.effect, self.exposed) {
+    fn last_send(&self, terms: &TermsOfCarriage) -> Micros {
+        match (terms.profiles[self.profile].effect, self.exposed) {
             (Effect::Fingerprinted { window, .. }, Some((first, _))) => {
                 self.expires.min(first.saturating_add(window))
             }
@@ -182,13 +174,12 @@
         }
     }
 
-    /// What is lost by sending it later, over a look ahead of about `ahead`, rather than now.
-    fn loss(&self, now: Micros, answer_time: f64, ahead: f64, row: &ProfileTerms, fading: Fading) -> f64 {
-        let last = self.last_send(row) as f64;
-        let at = |after: f64| match now as f64 + after < last {
-            true => self.worth_at(now as f64 + after + answer_time, row, fading),
-            false => 0.0,
-        };
+    /// What is lost by sending it somewhat later, on the scale of the shortest contract time, rather than now.
+    fn loss(&self, now: Micros, answer_time: f64, terms: &TermsOfCarriage) -> f64 {
+        let ahead = terms.profiles.iter().map(|r| r.contract_time).min().unwrap_or(0) as f64;
+        let (now, last) = (now as f64, self.last_send(terms) as f64);
+        let at =
+            |after| if now + after < last { self.worth_at(now + after + answer_time, terms) } else { 0.0 };
         at(0.0) - (at(ahead / 4.0) + at(ahead) + at(3.0 * ahead)) / 3.0
     }
 }
@@ -280,8 +271,9 @@
             ToDestination::Over { id, target, outcome, took, closed } => {
                 let out = self.packets.get_mut(&id).and_then(|p| p.out.take_if(|o| o.0 == target));
                 let Some((_, sent)) = out else { return };
-                desk.post.target((target, ToTarget::Over { sent, outcome, took }));
-                self.trip_over(id, (target, sent), outcome, closed, desk);
+                self.packets.entry(id).and_modify(|p| p.over |= closed);
+                desk.post.targets.push_back((target, ToTarget::Over { sent, outcome, took }));
+                self.trip_over(id, (target, sent), outcome, desk);
             }
             ToDestination::Withdrawn(id) => match self.packets.get_mut(&id) {
                 // Its trip still runs: it keeps its turn and its place until the outcome has come.
@@ -337,13 +329,11 @@
     fn trip_over(
         &mut self,
         id: PacketId,
-        trip: (TargetId, Micros),
+        (target, sent): (TargetId, Micros),
         outcome: Outcome,
-        closed: bool,
         desk: &mut Desk,
     ) {
         let Some(packet) = self.packets.get_mut(&id) else { return };
-        let (target, sent) = trip;
         let zone = self.cards.get(&target).map_or(0, |c| c.zone);
         if let (Outcome::Timeout | Outcome::Reset | Outcome::CalledOff, Some(key)) = (outcome, packet.key) {
             desk.tell(ToForwarder::Unclear { key });
@@ -356,16 +346,14 @@
         {
             gate.refused(wait, desk);
         }
-        if closed || packet.over || outcome == Outcome::Delivered {
+        if packet.over || outcome == Outcome::Delivered {
             return self.end(id, None, desk);
         }
-        let row = desk.row(packet.profile);
-        let longest = (LONGEST_WAIT * row.expiry as f64) as Micros;
-        let last_send = packet.last_send(row);
+        let longest = (LONGEST_WAIT * desk.row(packet.profile).expiry as f64) as Micros;
         let wait = (BASE_WAIT << packet.trips.saturating_sub(1).min(20)).min(longest);
         // Guards against clumps that come due together: chance spreads them, and the waits still grow.
         packet.ready_at = desk.now + wait + (wait as f64 * JITTER * desk.chance()) as Micros;
-        if packet.trips >= desk.terms.max_trips || packet.ready_at >= last_send {
+        if packet.trips >= desk.terms.max_trips || packet.ready_at >= packet.last_send(desk.terms) {
             self.end(id, Some(Action::WriteOff { id }), desk);
         }
     }
@@ -379,14 +367,14 @@
             let Some(gate) = self.gates.get(&self.apart.then_some(*target)) else { continue };
             let capacity = gate.capacity(desk.terms) / if self.apart { 1.0 } else { ready };
             let note = ToTarget::Tick { capacity, held: desk.now < gate.held };
-            desk.post.target((*target, note));
+            desk.post.targets.push_back((*target, note));
         }
         // The hold that every way to this destination shares, if there is one.
         let held = self.gates.values().map(|g| g.held).min().unwrap_or(0);
         self.call_off(lossy, desk);
         let lost: Vec<PacketId> = self
             .line()
-            .filter(|p| desk.now + 2 * TICK >= p.last_send(desk.row(p.profile)) || held >= p.expires)
+            .filter(|p| desk.now + 2 * TICK >= p.last_send(desk.terms) || held >= p.expires)
             .map(|p| p.id)
             .collect();
         lost.into_iter().for_each(|id| self.end(id, Some(Action::WriteOff { id }), desk));
@@ -432,10 +420,9 @@
     }
 
     fn shed(&mut self, desk: &mut Desk) {
-        let fading = desk.terms.fading;
         let least = self
             .line()
-            .map(|p| (p.worth_at(desk.now as f64, desk.row(p.profile), fading), p.due, p.id))
+            .map(|p| (p.worth_at(desk.now as f64, desk.terms), p.due, p.id))
             .min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)).then(a.2.cmp(&b.2)));
         if let Some((_, _, id)) = least {
             self.give_up(id, desk);
@@ -444,9 +431,7 @@
 
     /// The packet that a target should get next, and what is lost by leaving it.
     fn next_for(&self, card: &Card, desk: &Desk) -> Option<(PacketId, f64)> {
-        let ahead = desk.terms.profiles.iter().map(|r| r.contract_time).min().unwrap_or(0) as f64;
         self.line()
-            .filter(|p| p.turn && p.ready_at <= desk.now)
             .filter(|p| {
                 let row = desk.row(p.profile);
                 let reach = match (row.effect, p.exposed) {
@@ -457,9 +442,9 @@
                     (Effect::Binding, _) => card.clean || desk.now + row.expiry / 4 > p.expires,
                     _ => true,
                 };
-                reach && desk.now + 2 * TICK < p.last_send(row)
+                reach && p.turn && p.ready_at <= desk.now && desk.now + 2 * TICK < p.last_send(desk.terms)
             })
-            .map(|p| (p, p.loss(desk.now, card.answer_time, ahead, desk.row(p.profile), desk.terms.fading)))
+            .map(|p| (p, p.loss(desk.now, card.answer_time, desk.terms)))
             .max_by(|(a, x), (b, y)| x.total_cmp(y).then(b.due.cmp(&a.due)).then(b.id.cmp(&a.id)))
             .map(|(p, loss)| (p.id, loss))
     }
@@ -471,24 +456,21 @@
         if self.cards.values().map(|c| c.calls).sum::<usize>() >= cap {
             return;
         }
-        let mut best: Option<(f64, TargetId)> = None;
-        for (target, card) in &self.cards {
-            let Some(gate) = self.gates.get_mut(&self.apart.then_some(*target)) else { continue };
-            if card.open == 0 || !card.ready || desk.now < gate.held {
-                continue;
-            }
-            if gate.tokens.left < 1.0 {
-                gate.short = true;
-                continue;
-            }
-            // Cheapest route first, then the one with the most room for its pace.
-            let cost = card.fee * SECOND * SECOND + card.answer_time * (card.calls + 1) as f64;
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, *target));
+        let mut able: Vec<(f64, TargetId)> = Vec::new();
+        for (target, card) in self.cards.iter().filter(|(_, card)| card.ready && card.open > 0) {
+            match self.gates.get_mut(&self.apart.then_some(*target)) {
+                Some(gate) if desk.now >= gate.held && gate.tokens.left >= 1.0 => {
+                    // Cheapest route first, then the one with the most room for its pace.
+                    let cost = card.fee * SECOND * SECOND + card.answer_time * (card.calls + 1) as f64;
+                    able.push((cost, *target));
+                }
+                Some(gate) => gate.short = true,
+                None => {}
             }
         }
-        let Some((_, target)) = best else { return };
-        if let Some((_, gain)) = self.next_for(&self.cards[&target], desk) {
+        able.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let next = |t: TargetId| Some((t, self.next_for(&self.cards[&t], desk)?.1));
+        if let Some((target, gain)) = able.into_iter().find_map(|(_, target)| next(target)) {
             self.pick = Some(target);
             desk.tell(ToForwarder::Bid { destination: self.id, gain });
         }
@@ -498,14 +480,10 @@
     fn carry(&mut self, desk: &mut Desk) {
         let Some(target) = self.pick.take() else { return };
         let Some(card) = self.cards.get(&target).cloned() else { return };
-        for rider in 0..self.per_call {
+        self.gates.entry(self.apart.then_some(target)).and_modify(|gate| gate.tokens.left -= 1.0);
+        for _ in 0..self.per_call {
             let Some((id, _)) = self.next_for(&card, desk) else { break };
             let Some(packet) = self.packets.get_mut(&id) else { break };
-            if rider == 0 {
-                if let Some(gate) = self.gates.get_mut(&self.apart.then_some(target)) {
-                    gate.tokens.left -= 1.0;
-                }
-            }
             packet.trips += 1;
             packet.out = Some((target, desk.now));
             packet.called_off = false;
@@ -519,9 +497,8 @@
                 Effect::Fingerprinted { window, .. } => Some((most as Micros).min(window / 2)),
             };
             let limit = limit.map(|l| l.clamp(1, packet.expires - desk.now));
-            let send = Action::Send { id, target, limit };
-            desk.post.target((target, ToTarget::Board));
-            desk.act(send);
+            desk.post.targets.push_back((target, ToTarget::Board));
+            desk.act(Action::Send { id, target, limit });
         }
     }
 }
@@ -623,7 +600,7 @@
             }
         }
         let card = self.card();
-        desk.post.destination((self.destination, ToDestination::Card { target: self.id, card }));
+        desk.post.destinations.push_back((self.destination, ToDestination::Card { target: self.id, card }));
     }
 
     fn judge(&mut self, outcome: Outcome, took: Micros, desk: &mut Desk) {
@@ -821,19 +798,12 @@
                 let lost = f64::from(u8::from(outcome == Outcome::CalledOff));
                 self.lost += NEW_LOST * (lost - self.lost);
                 self.report(target, &report);
-                if let Some((destination, _)) = self.book.get(&id) {
-                    let note = ToDestination::Over { id, target, outcome, took, closed };
-                    self.post.destination((*destination, note));
-                }
-            }
-            Event::Withdrawn { id } => {
-                if let Some((destination, _)) = self.book.get(&id) {
-                    self.post.destination((*destination, ToDestination::Withdrawn(id)));
-                }
+                self.pass_on(id, ToDestination::Over { id, target, outcome, took, closed });
             }
+            Event::Withdrawn { id } => self.pass_on(id, ToDestination::Withdrawn(id)),
             Event::ProbeAnswered { target, outcome, report, .. } => {
                 self.report(target, &report);
-                self.post.target((target, ToTarget::Probed { outcome }));
+                self.post.targets.push_back((target, ToTarget::Probed { outcome }));
             }
             Event::Alarm { .. } => {
                 self.woken = false;
@@ -849,19 +819,26 @@
         }
     }
 
+    /// Notes on a packet that is already over reach nobody.
+    fn pass_on(&mut self, id: PacketId, note: ToDestination) {
+        if let Some((destination, _)) = self.book.get(&id) {
+            self.post.destinations.push_back((*destination, note));
+        }
+    }
+
     fn tick(&mut self, now: Micros) {
         self.destinations.retain(|_, d| !(d.cards.is_empty() && d.packets.is_empty() && d.gates.is_empty()));
         self.states.retain(|id, _| self.destinations.contains_key(id));
         let lossy = self.lost > LOSSY;
-        for id in self.destinations.keys() {
-            self.post.destination((*id, ToDestination::Tick { lossy }));
-        }
+        self.post
+            .destinations
+            .extend(self.destinations.keys().map(|id| (*id, ToDestination::Tick { lossy })));
         let kept = ((f64::from(self.terms.room) * ROOM_KEPT).ceil() as usize).max(1);
         let most = (self.terms.room as usize).saturating_sub(kept).max(1);
         if self.book.len() > most {
-            if let Some((longest, _)) = self.states.iter().max_by_key(|(_, (_, _, waiting))| *waiting) {
-                let notes = self.book.len() - most;
-                (0..notes).for_each(|_| self.post.destination((*longest, ToDestination::Shed)));
+            if let Some((longest, _)) = self.states.iter().max_by_key(|(_, s)| s.2) {
+                let sheds = (most..self.book.len()).map(|_| (*longest, ToDestination::Shed));
+                self.post.destinations.extend(sheds);
             }
         }
         self.turns.retain(|_, t| !t.line.is_empty() || t.rest > now);
@@ -870,15 +847,15 @@
         }
         let (post, over) = (&mut self.post, |t: &Target| t.standing == Standing::Gone && t.calls.is_empty());
         for (id, target) in self.targets.extract_if(.., |_, t| over(t)) {
-            post.destination((target.destination, ToDestination::Left(id)));
+            post.destinations.push_back((target.destination, ToDestination::Left(id)));
         }
     }
 
     fn report(&mut self, target: TargetId, report: &[f32]) {
         let limit = self.terms.report_limit.and_then(|at| report.get(at));
-        if let (Some(limit), Some(t)) = (limit, self.targets.get(&target)) {
-            let note = ToDestination::Told { target, limit: f64::from(*limit) };
-            self.post.destination((t.destination, note));
+        if let (Some(&limit), Some(t)) = (limit, self.targets.get(&target)) {
+            let note = ToDestination::Told { target, limit: limit.into() };
+            self.post.destinations.push_back((t.destination, note));
         }
     }
 
@@ -918,9 +895,9 @@
         let apart = self.destinations.get(&t.destination).is_some_and(|d| d.apart);
         let fee = if apart { self.terms.zone_fees.get(zone.0 as usize).copied().unwrap_or(0.0) } else { 0.0 };
         if standing != Standing::Gone {
-            self.post.destination((t.destination, ToDestination::Listed { target, rate }));
+            self.post.destinations.push_back((t.destination, ToDestination::Listed { target, rate }));
         }
-        self.post.target((target, ToTarget::Listed { zone, standing, fee }));
+        self.post.targets.push_back((target, ToTarget::Listed { zone, standing, fee }));
     }
 
     fn arrival(&mut self, now: Micros, arrival: Arrival) {
@@ -948,14 +925,14 @@
         }
         self.book.insert(id, (destination, key));
         self.destinations.entry(destination).or_insert_with(|| Destination::new(destination));
-        self.post.destination((destination, ToDestination::Take(packet)));
+        self.post.destinations.push_back((destination, ToDestination::Take(packet)));
         self.pass_turn(now, key);
     }
 
     fn pass_turn(&mut self, now: Micros, key: Option<OrderKey>) {
         let Some(turns) = key.and_then(|k| self.turns.get(&k)) else { return };
         if let (true, Some((id, destination))) = (turns.rest <= now, turns.line.front()) {
-            self.post.destination((*destination, ToDestination::Turn(*id)));
+            self.post.destinations.push_back((*destination, ToDestination::Turn(*id)));
         }
     }
 
@@ -984,12 +961,11 @@
         match note {
             ToForwarder::Do(action) => actions.push(action),
             ToForwarder::Ended { id } => {
-                if let Some((_, Some(key))) = self.book.remove(&id) {
-                    if let Some(turns) = self.turns.get_mut(&key) {
-                        turns.line.retain(|(waiting, _)| *waiting != id);
-                    }
-                    self.pass_turn(now, Some(key));
+                let key = self.book.remove(&id).and_then(|(_, key)| key);
+                if let Some(turns) = key.and_then(|key| self.turns.get_mut(&key)) {
+                    turns.line.retain(|(waiting, _)| *waiting != id);
                 }
+                self.pass_turn(now, key);
             }
             ToForwarder::Unclear { key } => {
                 if let Some(turns) = self.turns.get_mut(&key) {
@@ -1012,9 +988,8 @@
             let out_troubled: usize = self.states.values().filter(|s| s.1).map(|s| s.0).sum();
             let mut free = slots.saturating_sub(out);
             let mut free_troubled = troubled_cap.saturating_sub(out_troubled).min(free);
-            for (id, _) in self.states.iter().filter(|(_, s)| s.2 > 0) {
-                self.post.destination((*id, ToDestination::Offer));
-            }
+            let waiting = self.states.iter().filter(|(_, s)| free > 0 && s.2 > 0);
+            self.post.destinations.extend(waiting.map(|(id, _)| (*id, ToDestination::Offer)));
             self.settle(now, actions);
             let mut bids = std::mem::take(&mut self.bids);
             bids.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
@@ -1026,7 +1001,7 @@
                 }
                 free -= 1;
                 free_troubled -= usize::from(troubled);
-                self.post.destination((id, ToDestination::Award));
+                self.post.destinations.push_back((id, ToDestination::Award));
             }
             if free == before {
                 return;
