--- a/src/rules.rs
+++ b/src/rules.rs
@@ -11,7 +11,6 @@
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, VecDeque};
 
-// Every tuned figure, with its unit and the reason for its size.
 const SECOND: f64 = 1e6; // µs
 const TICK: Micros = 10_000; // µs between looks at all timers: small beside any trip, large beside a round's cost
 const BASE_WAIT: Micros = 100_000; // µs before the first retry: the design's starting value
@@ -64,9 +63,6 @@
     fn row(&self, profile: usize) -> &'a ProfileTerms {
         &self.terms.profiles[profile]
     }
-    fn chance(&mut self) -> f64 {
-        self.rng.random()
-    }
     fn act(&mut self, action: Action) {
         self.tell(ToForwarder::Do(action));
     }
@@ -260,10 +256,6 @@
 }
 
 impl Destination {
-    fn new(id: DestinationId) -> Destination {
-        Destination { id, per_call: 1, ..Destination::default() }
-    }
-
     fn read(&mut self, note: ToDestination, desk: &mut Desk) {
         match note {
             ToDestination::Take(packet) => drop(self.packets.insert(packet.id, packet)),
@@ -282,9 +274,8 @@
                 None => {}
             },
             ToDestination::Told { target, limit } => {
-                if let Some(gate) = self.gates.get_mut(&self.apart.then_some(target)) {
-                    gate.told = (limit > 0.0 && limit.is_finite()).then_some(limit);
-                }
+                let told = (limit > 0.0 && limit.is_finite()).then_some(limit);
+                self.gates.entry(self.apart.then_some(target)).and_modify(|gate| gate.told = told);
             }
             // A gate without its target stays until its hold is over.
             ToDestination::Left(target) => drop(self.cards.remove(&target)),
@@ -352,7 +343,7 @@
         let longest = (LONGEST_WAIT * desk.row(packet.profile).expiry as f64) as Micros;
         let wait = (BASE_WAIT << packet.trips.saturating_sub(1).min(20)).min(longest);
         // Guards against clumps that come due together: chance spreads them, and the waits still grow.
-        packet.ready_at = desk.now + wait + (wait as f64 * JITTER * desk.chance()) as Micros;
+        packet.ready_at = desk.now + wait + (wait as f64 * JITTER * desk.rng.random::<f64>()) as Micros;
         if packet.trips >= desk.terms.max_trips || packet.ready_at >= packet.last_send(desk.terms) {
             self.end(id, Some(Action::WriteOff { id }), desk);
         }
@@ -420,11 +411,9 @@
     }
 
     fn shed(&mut self, desk: &mut Desk) {
-        let least = self
-            .line()
-            .map(|p| (p.worth_at(desk.now as f64, desk.terms), p.due, p.id))
-            .min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)).then(a.2.cmp(&b.2)));
-        if let Some((_, _, id)) = least {
+        let worth = |p: &Packet| p.worth_at(desk.now as f64, desk.terms);
+        let least = self.line().min_by(|a, b| worth(a).total_cmp(&worth(b)).then(b.due.cmp(&a.due)));
+        if let Some(id) = least.map(|p| p.id) {
             self.give_up(id, desk);
         }
     }
@@ -587,7 +576,7 @@
             }
             ToTarget::Probed { outcome } => {
                 self.next_probe =
-                    desk.now + PROBE_GAP + (PROBE_GAP as f64 * JITTER * desk.chance()) as Micros;
+                    desk.now + PROBE_GAP + (PROBE_GAP as f64 * JITTER * desk.rng.random::<f64>()) as Micros;
                 // Guards against probes that fail where calls would not: some packet tries in their stead.
                 self.deaf = if outcome == Outcome::Delivered { 0 } else { self.deaf + 1 };
                 if self.health == Health::Aside && self.deaf % DEAF_PROBES == 0 {
@@ -640,9 +629,7 @@
         }
         self.deviation += 2.0 * NEW_ANSWER * ((took - self.mean).abs() - self.deviation);
         self.mean += NEW_ANSWER * (took - self.mean);
-        // The usual time follows quickly at first, then slowly, and hardly while it runs long.
-        let weight = if took > SLOW * self.usual { NEW_USUAL / 4.0 } else { NEW_USUAL };
-        self.usual += weight * (took - self.usual);
+        self.usual += NEW_USUAL * (took.min(SLOW * self.usual) - self.usual);
     }
 
     fn set_aside(&mut self, why: &str, desk: &mut Desk) {
@@ -661,7 +648,6 @@
     }
 
     /// Calls a second that it may get from this forwarder while it may be cold.
-    ///
     /// Guards a returning destination against being pushed over: the return is not seen, so the share of the cold
     /// budget holds from the moment it is set aside, and grows only from the first answer.
     fn cold_rate(&self, now: Micros, terms: &TermsOfCarriage) -> f64 {
@@ -678,10 +664,9 @@
 
     fn tick(&mut self, held: bool, desk: &mut Desk) {
         self.budget.fill(desk.now, self.cold_rate(desk.now, desk.terms), 1.0);
-        if let Health::Warming(since) = self.health {
-            if desk.now >= since + desk.terms.rules.warm_after {
-                self.health = Health::Well;
-            }
+        let warm_after = desk.terms.rules.warm_after;
+        if matches!(self.health, Health::Warming(since) if desk.now >= since.saturating_add(warm_after)) {
+            self.health = Health::Well;
         }
         // Guards against work sunk into a target that takes calls and answers none.
         let patience = ((self.mean + TAIL * self.deviation) as Micros).max(SILENCE);
@@ -711,15 +696,15 @@
 
     fn card(&mut self) -> Card {
         let room = self.places().saturating_sub(self.calls.len());
-        let cold = self.budget.left.max(0.0) as usize;
+        let cold = self.budget.left as usize; // no less than nought
         let open = match self.health {
             Health::Well => room,
             Health::Aside => 0,
             Health::Probed => room.min(cold).min(1),
             Health::Warming(_) => room.min(cold),
         };
-        let (aside, failed) = (self.aside(), self.recent.iter().filter(|s| !**s).count());
-        let slow = self.mean > SLOW * self.usual;
+        let failed = self.recent.iter().filter(|s| !**s).count();
+        let (aside, slow) = (self.aside(), self.mean > SLOW * self.usual);
         let card = &mut self.card;
         card.open = open;
         card.calls = self.calls.len();
@@ -877,7 +862,8 @@
             let kind = self.terms.kinds.get(entry.kind.0 as usize).or(self.terms.kinds.last());
             let per_call = kind.map_or(1, |k| k.per_call.max(1) as usize);
             let d = entry.destination;
-            let destination = self.destinations.entry(d).or_insert_with(|| Destination::new(d));
+            let destination =
+                self.destinations.entry(d).or_insert_with(|| Destination { id: d, ..Destination::default() });
             if destination.cards.is_empty() {
                 (destination.apart, destination.per_call) = (kind.is_some_and(|k| k.routes_apart), per_call);
             }
@@ -924,7 +910,9 @@
             self.turns.entry(key).or_default().line.push_back((id, destination));
         }
         self.book.insert(id, (destination, key));
-        self.destinations.entry(destination).or_insert_with(|| Destination::new(destination));
+        self.destinations
+            .entry(destination)
+            .or_insert_with(|| Destination { id: destination, ..Destination::default() });
         self.post.destinations.push_back((destination, ToDestination::Take(packet)));
         self.pass_turn(now, key);
     }
