--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -1,7 +1,7 @@
 //! The instances of this process, and the records that reach them.
 
 use crate::start;
-use crate::wire::{records, BatchHead, Fields, Reply, WireError};
+use crate::wire::{records, BatchHead, Fields, Raw, Reply, WireError};
 use opalpulley::{Action, Event, Forwarder, ListNews, Listing, Micros, PacketId, Token};
 use std::collections::BTreeMap;
 
@@ -19,15 +19,16 @@
     /// Plays one batch and gives the frame that answers it.
     pub fn answer(&mut self, head: BatchHead, body: &[u8]) -> Result<Vec<u8>, WireError> {
         self.reply.clear();
-        for (code, offset, bytes) in records(head, body)? {
-            self.record(head.clock, code, offset, bytes)?;
+        for raw in records(head, body)? {
+            self.record(head.clock, &raw)?;
         }
         self.reply.frame(head.number)
     }
 
-    fn record(&mut self, now: Micros, code: u16, offset: usize, bytes: &[u8]) -> Result<(), WireError> {
+    fn record(&mut self, now: Micros, raw: &Raw) -> Result<(), WireError> {
+        let code = raw.code;
         let Some(name) = name_of(code) else { return Ok(()) };
-        let mut fields = Fields::new(name, offset, bytes);
+        let mut fields = Fields::new(name, raw.offset, raw.fields);
         if code == 11 {
             let number = fields.u32()?;
             if number >= LISTS {
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -205,16 +205,22 @@
     }
 }
 
-/// The records of a batch, in order: code, offset and bytes of the fields.
-pub fn records(head: BatchHead, body: &[u8]) -> Result<Vec<(u16, usize, &[u8])>, WireError> {
+/// A record before its fields are read.
+pub struct Raw<'a> {
+    pub code: u16,
+    pub offset: usize,
+    pub fields: &'a [u8],
+}
+
+/// The records of a batch, in order.
+pub fn records(head: BatchHead, body: &[u8]) -> Result<Vec<Raw<'_>>, WireError> {
     let mut out = Vec::new();
     let mut rest = Fields::new("record", 0, body);
     for _ in 0..head.records {
         rest.offset = rest.at;
         let code = rest.u16()?;
         let len = rest.u32()? as usize;
-        let start = rest.offset;
-        out.push((code, start, rest.take(len)?));
+        out.push(Raw { code, offset: rest.offset, fields: rest.take(len)? });
     }
     if rest.at != body.len() {
         return Err(rest.bad(format!("{} bytes follow the last record", body.len() - rest.at)));
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -259,7 +259,7 @@
     fn read(&mut self, note: ToDestination, desk: &mut Desk) {
         match note {
             ToDestination::Take(packet) => drop(self.packets.insert(packet.id, packet)),
-            ToDestination::Turn(id) => drop(self.packets.entry(id).and_modify(|p| p.turn = true)),
+            ToDestination::Turn(id) => _ = self.packets.entry(id).and_modify(|p| p.turn = true),
             ToDestination::Over { id, target, outcome, took, closed } => {
                 let out = self.packets.get_mut(&id).and_then(|p| p.out.take_if(|o| o.0 == target));
                 let Some((_, sent)) = out else { return };
@@ -288,7 +288,7 @@
                     if known { rate } else { 0.0 };
             }
             ToDestination::Card { target, card } => {
-                drop(self.cards.entry(target).and_modify(|old| *old = card))
+                _ = self.cards.entry(target).and_modify(|old| *old = card)
             }
             ToDestination::Tick { lossy } => self.tick(lossy, desk),
             ToDestination::Offer => self.bid(desk),
@@ -579,7 +579,7 @@
                     desk.now + PROBE_GAP + (PROBE_GAP as f64 * JITTER * desk.rng.random::<f64>()) as Micros;
                 // Guards against probes that fail where calls would not: some packet tries in their stead.
                 self.deaf = if outcome == Outcome::Delivered { 0 } else { self.deaf + 1 };
-                if self.health == Health::Aside && self.deaf % DEAF_PROBES == 0 {
+                if self.health == Health::Aside && self.deaf.is_multiple_of(DEAF_PROBES) {
                     self.health = Health::Probed;
                 }
             }
--- /dev/null
+++ b/tests/cases.rs
@@ -0,0 +1,375 @@
+//! Plain cases, by kind of failure.
+
+mod common;
+
+use common::*;
+use opalpulley::*;
+
+type Checked = Result<(), String>;
+
+fn one_target() -> World {
+    World::new(terms(), vec![listing(1, 0, 20.0)])
+}
+
+/// Two routes apart in two zones.
+fn routes(terms: TermsOfCarriage) -> World {
+    let kinds = vec![KindTerms { routes_apart: true, per_call: 1 }];
+    World::new(TermsOfCarriage { kinds, ..terms }, vec![listing(1, 0, 20.0), listing(2, 0, 20.0)])
+}
+
+fn sends(world: &World, id: PacketId) -> Vec<Micros> {
+    world.packets[&id].trips.iter().map(|t| t.sent).collect()
+}
+
+fn written_off(world: &World, id: PacketId) -> bool {
+    world.actions.contains(&Action::WriteOff { id })
+}
+
+/// Keeps the target busy and answering well for a while.
+fn good_times(world: &mut World, seconds: u64) -> Checked {
+    for _ in 0..seconds * 5 {
+        let id = world.arrive(0, 0, None, 8_000 * MS)?;
+        world.pass(100 * MS)?;
+        if world.out().contains(&id) {
+            world.end(id, Outcome::Delivered)?;
+        }
+        world.pass(100 * MS)?;
+    }
+    Ok(())
+}
+
+/// Lets every call fail until the target is set aside.
+fn outage(world: &mut World) -> Checked {
+    for _ in 0..40 {
+        if world.actions.iter().any(|a| matches!(a, Action::Log(l) if l.contains("set aside"))) {
+            return Ok(());
+        }
+        world.arrive(0, 0, None, 8_000 * MS)?;
+        world.pass(50 * MS)?;
+        for id in world.out() {
+            world.end(id, Outcome::Error)?;
+        }
+    }
+    Err("never set aside".into())
+}
+
+#[test]
+fn waits_between_trips_double_up_to_a_quarter_of_expiry() -> Checked {
+    let mut terms = terms();
+    terms.max_trips = 8;
+    terms.profiles[0].expiry = 4_000 * MS;
+    terms.profiles[0].contract_time = 4_000 * MS;
+    let mut world = World::new(terms, vec![listing(1, 0, 200.0), listing(2, 1, 200.0)]);
+    let id = world.arrive(0, 0, None, 4_000 * MS)?;
+    let mut ended = Vec::new();
+    while !written_off(&world, id) {
+        ended.push(world.now);
+        world.end(id, Outcome::Full { wait: None })?;
+        // Another target answers in between; only the packet's own waits count here.
+        let before = sends(&world, id).len();
+        while sends(&world, id).len() == before && !written_off(&world, id) {
+            world.pass(10 * MS)?;
+        }
+        if ended.len() == 2 {
+            break;
+        }
+    }
+    for (n, (end, next)) in ended.iter().zip(sends(&world, id).iter().skip(1)).enumerate() {
+        let (wait, least) = (next - end, (100 * MS) << n);
+        assert!(wait >= least && wait <= least * 3 / 2 + 20 * MS, "wait {n} was {wait}, at least {least}");
+    }
+    assert_eq!(ended.len(), 2);
+    Ok(())
+}
+
+#[test]
+fn trips_are_bounded_and_then_the_packet_is_written_off_at_once() -> Checked {
+    let mut terms = terms();
+    terms.max_trips = 2;
+    let mut world = World::new(terms, vec![listing(1, 0, 200.0)]);
+    let id = world.arrive(0, 0, None, 8_000 * MS)?;
+    world.end(id, Outcome::Error)?;
+    world.pass(300 * MS)?;
+    world.end(id, Outcome::Error)?;
+    assert!(written_off(&world, id));
+    Ok(())
+}
+
+#[test]
+fn one_destination_keeps_under_its_share_of_slots() -> Checked {
+    let mut world = World::new(terms(), (1..5).map(|n| listing(n, 0, 500.0)).collect());
+    (0..30).try_for_each(|_| world.arrive(0, 0, None, 8_000 * MS).map(drop))?;
+    world.pass(100 * MS)?;
+    assert_eq!(world.out().len(), 6, "three quarters of eight while it answers well");
+    for _ in 0..2 {
+        world.end(world.out()[0], Outcome::Error)?;
+    }
+    world.end(world.out()[0], Outcome::Error)?;
+    world.pass(100 * MS)?;
+    assert!(world.out().len() <= 4, "half of eight while calls fail");
+    Ok(())
+}
+
+#[test]
+fn nothing_goes_to_a_draining_target() -> Checked {
+    let mut world = one_target();
+    let entry = Listing { standing: Standing::Draining, ..listing(1, 0, 20.0) };
+    world.list(ListNews::Changes(vec![entry]))?;
+    let id = world.arrive(0, 0, None, 8_000 * MS)?;
+    world.pass(2_000 * MS)?;
+    assert!(sends(&world, id).is_empty());
+    world.list(ListNews::Changes(vec![listing(2, 0, 20.0)]))?;
+    world.pass(50 * MS)?;
+    assert_eq!(world.packets[&id].trips[0].target, target(2));
+    Ok(())
+}
+
+#[test]
+fn a_told_wait_binds_the_destination_and_a_route_only_itself() -> Checked {
+    let full = Outcome::Full { wait: Some(1_500 * MS) };
+    let mut shared = World::new(terms(), vec![listing(1, 0, 20.0), listing(2, 0, 20.0)]);
+    let mut apart = routes(terms());
+    for (world, bound) in [(&mut shared, true), (&mut apart, false)] {
+        let first = world.arrive(0, 0, None, 8_000 * MS)?;
+        world.end(first, full)?;
+        let second = world.arrive(0, 0, None, 8_000 * MS)?;
+        world.pass(1_000 * MS)?;
+        assert_eq!(sends(world, second).is_empty(), bound);
+        world.pass(1_000 * MS)?;
+        assert_eq!(sends(world, second).len(), 1);
+    }
+    Ok(())
+}
+
+#[test]
+fn a_hold_past_expiry_ends_the_packet_at_once() -> Checked {
+    let mut world = one_target();
+    let first = world.arrive(0, 0, None, 8_000 * MS)?;
+    let second = world.arrive(0, 0, None, 3_000 * MS)?;
+    world.end(first, Outcome::Full { wait: Some(5_000 * MS) })?;
+    world.pass(20 * MS)?;
+    assert!(world.packets[&second].over || !sends(&world, second).is_empty());
+    let third = world.arrive(0, 0, None, 3_000 * MS)?;
+    world.pass(20 * MS)?;
+    assert!(written_off(&world, third));
+    Ok(())
+}
+
+#[test]
+fn a_fingerprinted_packet_is_not_sent_again_outside_its_window() -> Checked {
+    let mut world = one_target();
+    let id = world.arrive(1, 0, None, 8_000 * MS)?;
+    world.pass(1_000 * MS)?;
+    world.end(id, Outcome::Reset)?;
+    let hold = world.arrive(0, 0, None, 8_000 * MS)?;
+    world.end(hold, Outcome::Full { wait: Some(4_000 * MS) })?;
+    world.pass(2_500 * MS)?;
+    assert!(written_off(&world, id) && sends(&world, id).len() == 1);
+    Ok(())
+}
+
+#[test]
+fn a_binding_packet_that_may_have_run_is_written_off() -> Checked {
+    for outcome in [Outcome::Error, Outcome::Reset, Outcome::Timeout] {
+        let mut world = one_target();
+        let id = world.arrive(2, 0, None, 8_000 * MS)?;
+        world.end(id, outcome)?;
+        assert!(written_off(&world, id), "{outcome:?}");
+    }
+    Ok(())
+}
+
+/// The cold budget once ran up a debt in good times, and a target set aside was not tried for minutes.
+#[test]
+fn a_target_set_aside_after_good_times_is_probed_soon() -> Checked {
+    let mut world = one_target();
+    good_times(&mut world, 20)?;
+    outage(&mut world)?;
+    world.pass(3_000 * MS)?;
+    assert!(!world.probes.is_empty());
+    Ok(())
+}
+
+#[test]
+fn a_target_set_aside_comes_back_by_probe_then_call() -> Checked {
+    let mut world = one_target();
+    outage(&mut world)?;
+    world.pass(3_000 * MS)?;
+    assert!(world.out().is_empty(), "nothing but probes while it is set aside");
+    world.answer_probe(Outcome::Delivered)?;
+    world.pass(2_000 * MS)?;
+    let id = world.out()[0];
+    world.end(id, Outcome::Delivered)?;
+    assert!(world.actions.iter().any(|a| matches!(a, Action::Log(l) if l.contains("taken back"))));
+    Ok(())
+}
+
+/// Probes alone may fail where calls would pass: a packet then tries.
+#[test]
+fn a_packet_tries_where_probes_stay_unanswered() -> Checked {
+    let mut world = one_target();
+    outage(&mut world)?;
+    for _ in 0..3 {
+        world.pass(2_000 * MS)?;
+        world.answer_probe(Outcome::Timeout)?;
+    }
+    world.arrive(0, 0, None, 8_000 * MS)?;
+    world.pass(2_000 * MS)?;
+    assert!(world.packets.values().any(|h| h.trips.len() > 1), "no packet tried again");
+    Ok(())
+}
+
+#[test]
+fn a_returning_target_gets_this_forwarders_part_of_the_cold_budget() -> Checked {
+    let mut world = one_target();
+    good_times(&mut world, 3)?;
+    outage(&mut world)?;
+    world.pass(3_000 * MS)?;
+    world.answer_probe(Outcome::Delivered)?;
+    let mut sent = 0;
+    for _ in 0..40 {
+        world.arrive(0, 0, None, 8_000 * MS)?;
+        world.pass(50 * MS)?;
+        for id in world.out() {
+            world.end(id, Outcome::Delivered)?;
+            sent += 1;
+        }
+    }
+    // Two seconds at 2.0 x 0.2 x 20 calls a second, half of it ours, and a little warmth.
+    assert!((3..=10).contains(&sent), "{sent} calls in the first two seconds");
+    Ok(())
+}
+
+/// Half the trips of a day once got lost on the way and were waited out: slots filled with them.
+#[test]
+fn a_trip_that_later_calls_have_passed_is_called_off() -> Checked {
+    let mut world = one_target();
+    good_times(&mut world, 5)?;
+    let lost = world.arrive(0, 0, None, 8_000 * MS)?;
+    world.pass(50 * MS)?;
+    good_times(&mut world, 3)?;
+    assert!(sends(&world, lost).len() > 1, "called off and sent again");
+    Ok(())
+}
+
+#[test]
+fn a_binding_trip_is_never_called_off() -> Checked {
+    let mut world = one_target();
+    good_times(&mut world, 5)?;
+    let id = world.arrive(2, 0, None, 8_000 * MS)?;
+    world.pass(50 * MS)?;
+    good_times(&mut world, 5)?;
+    assert!(!world.actions.contains(&Action::CallOff { id, trip: 0 }));
+    Ok(())
+}
+
+#[test]
+fn calls_that_stay_silent_set_the_target_aside() -> Checked {
+    let mut world = one_target();
+    good_times(&mut world, 5)?;
+    (0..3).try_for_each(|_| world.arrive(0, 0, None, 8_000 * MS).map(drop))?;
+    world.pass(1_500 * MS)?;
+    assert!(world.actions.iter().any(|a| matches!(a, Action::Log(l) if l.contains("silent"))));
+    Ok(())
+}
+
+/// With many forwarders the pace of each once grew by whole listed rates, and a third of all calls was refused.
+#[test]
+fn the_pace_grows_by_even_shares() -> Checked {
+    let mut terms = terms();
+    (terms.forwarders, terms.slots, terms.room) = (10, 100, 1_000);
+    let mut world = World::new(terms, vec![listing(1, 0, 20.0)]);
+    let mut sent = 0;
+    for _ in 0..100 {
+        (0..2).try_for_each(|_| world.arrive(0, 0, None, 8_000 * MS).map(drop))?;
+        world.pass(50 * MS)?;
+        for id in world.out() {
+            world.end(id, Outcome::Delivered)?;
+            sent += 1;
+        }
+    }
+    assert!((10..30).contains(&sent), "{sent} calls in five seconds at an even share of two a second");
+    Ok(())
+}
+
+/// A packet bound to the dearer zone once kept the whole line from the cheaper route.
+#[test]
+fn a_line_is_not_kept_by_a_packet_for_another_route() -> Checked {
+    let mut terms = terms();
+    let window = 8_000 * MS;
+    terms.profiles[1].effect = Effect::Fingerprinted { group: RepeatGroup::Zone, window };
+    let mut world = routes(terms);
+    let entry = Listing { standing: Standing::Draining, ..listing(2, 0, 20.0) };
+    world.list(ListNews::Changes(vec![entry]))?;
+    let bound = world.arrive(1, 0, None, 8_000 * MS)?;
+    world.pass(500 * MS)?;
+    world.end(bound, Outcome::Reset)?;
+    world.list(ListNews::Whole(vec![listing(2, 0, 20.0)]))?;
+    world.pass(500 * MS)?;
+    let free = world.arrive(1, 0, None, 8_000 * MS)?;
+    world.pass(100 * MS)?;
+    assert_eq!((sends(&world, bound).len(), sends(&world, free).len()), (1, 1));
+    Ok(())
+}
+
+#[test]
+fn a_key_goes_one_at_a_time_and_rests_after_an_unclear_trip() -> Checked {
+    let mut terms = terms();
+    (terms.profiles[0].in_order, terms.max_trips) = (true, 1);
+    let mut world = World::new(terms, vec![listing(1, 0, 200.0)]);
+    let first = world.arrive(0, 0, Some(5), 8_000 * MS)?;
+    let second = world.arrive(0, 0, Some(5), 8_000 * MS)?;
+    world.pass(100 * MS)?;
+    assert!(sends(&world, second).is_empty());
+    world.end(first, Outcome::Reset)?;
+    let ended = world.now;
+    world.pass(500 * MS)?;
+    assert!(sends(&world, second)[0] >= ended + 300 * MS);
+    Ok(())
+}
+
+#[test]
+fn near_a_full_room_the_least_worth_is_deferred_at_once() -> Checked {
+    let mut terms = terms();
+    terms.room = 20;
+    let mut world = World::new(terms, vec![listing(1, 0, 2.0)]);
+    (0..20).try_for_each(|_| world.arrive(0, 0, None, 8_000 * MS).map(drop))?;
+    world.pass(50 * MS)?;
+    assert!(world.actions.iter().any(|a| matches!(a, Action::Defer { come_back: Some(_), .. })));
+    assert!(world.packets.values().filter(|h| !h.over).count() < 20);
+    Ok(())
+}
+
+#[test]
+fn odd_terms_and_packets_end_in_one_answer_each() -> Checked {
+    let mut odd = terms();
+    (odd.slots, odd.room, odd.max_trips, odd.forwarders) = (1, 1, 1, 0);
+    (odd.profiles[0].contract_time, odd.kinds[0].per_call) = (0, 0);
+    odd.list_rates = ListRates::Untold;
+    let list = vec![listing(1, 0, f32::NAN), listing(2, 0, f32::INFINITY), listing(3, 1, -1.0)];
+    let mut bare = terms();
+    (bare.slots, bare.profiles, bare.kinds) =
+        (0, vec![profile(Effect::Binding)], vec![KindTerms { routes_apart: true, per_call: 1 }]);
+    for terms in [odd, bare] {
+        let mut world = World::new(terms, list.clone());
+        for (destination, left) in [(0, 8_000), (0, 0), (1, 1), (9, 8_000), (1, 8_000)] {
+            world.arrive(0, destination, None, left * MS)?;
+        }
+        world.pass(20_000 * MS)?;
+        assert!(world.packets.values().all(|h| h.over));
+    }
+    Ok(())
+}
+
+#[test]
+fn the_same_events_give_the_same_actions() -> Checked {
+    let run = || -> Result<Vec<Action>, String> {
+        let mut world = World::new(terms(), vec![listing(1, 0, 20.0), listing(2, 1, 5.0)]);
+        good_times(&mut world, 3)?;
+        outage(&mut world)?;
+        world.pass(5_000 * MS)?;
+        Ok(world.actions)
+    };
+    assert_eq!(run()?, run()?);
+    Ok(())
+}
