--- a/src/rules.rs
+++ b/src/rules.rs
@@ -386,9 +386,13 @@
             let Some(card) = self.cards.get(&target) else { continue };
             let haste = if lossy { LOSSY_HASTE } else { 1.0 };
             let patience = haste * card.trip_time * f64::from(1u32 << (packet.trips - 1).min(8));
-            let late = desk.now as f64 > sent as f64 + patience;
-            let lone = !card.aside && desk.now as f64 > sent as f64 + LONE * patience;
-            if late && (lone || card.passed > sent) && desk.row(packet.profile).effect != Effect::Binding {
+            let late = (desk.now - sent) as f64 / patience;
+            // A binding packet is lost with its trip, so only what is lost for sure gives back its slot.
+            let lost = match desk.row(packet.profile).effect {
+                Effect::Binding => late > LONE && card.passed > sent,
+                _ => late > LONE && !card.aside || late > 1.0 && card.passed > sent,
+            };
+            if lost {
                 packet.called_off = true;
                 let trip = (packet.trips - 1) as u8;
                 desk.act(Action::CallOff { id: packet.id, trip });
