--- a/src/rules.rs
+++ b/src/rules.rs
@@ -96,7 +96,7 @@
     Listed { target: TargetId, rate: f64 },
     Left(TargetId),
     Card { target: TargetId, card: Card },
-    Tick { lossy: bool },
+    Tick { lossy: bool, crowded: bool },
     Offer,
     Award,
     Shed,
@@ -290,7 +290,7 @@
             ToDestination::Card { target, card } => {
                 _ = self.cards.entry(target).and_modify(|old| *old = card)
             }
-            ToDestination::Tick { lossy } => self.tick(lossy, desk),
+            ToDestination::Tick { lossy, crowded } => self.tick(lossy, crowded, desk),
             ToDestination::Offer => self.bid(desk),
             ToDestination::Award => self.carry(desk),
             ToDestination::Shed => self.shed(desk),
@@ -349,7 +349,7 @@
         }
     }
 
-    fn tick(&mut self, lossy: bool, desk: &mut Desk) {
+    fn tick(&mut self, lossy: bool, crowded: bool, desk: &mut Desk) {
         let listed = |t: Option<TargetId>| t.map_or(!self.cards.is_empty(), |t| self.cards.contains_key(&t));
         self.gates.retain(|t, gate| listed(*t) || gate.held > desk.now);
         self.gates.values_mut().for_each(|gate| gate.refill(desk.now, desk.terms));
@@ -362,7 +362,7 @@
         }
         // The hold that every way to this destination shares, if there is one.
         let held = self.gates.values().map(|g| g.held).min().unwrap_or(0);
-        self.call_off(lossy, desk);
+        self.call_off(lossy, crowded, desk);
         let lost: Vec<PacketId> = self
             .line()
             .filter(|p| desk.now + 2 * TICK >= p.last_send(desk.terms) || held >= p.expires)
@@ -377,7 +377,7 @@
 
     /// Guards against trips that get lost on the way: a trip that calls sent later have passed, and that is long
     /// over its time, is called off and retried. Where nothing is answered it goes on, for its answer may come.
-    fn call_off(&mut self, lossy: bool, desk: &mut Desk) {
+    fn call_off(&mut self, lossy: bool, mut crowded: bool, desk: &mut Desk) {
         if !desk.terms.may_call_off {
             return;
         }
@@ -390,7 +390,10 @@
             // A binding packet is lost with its trip, so only what is lost for sure gives back its slot.
             let lost = match desk.row(packet.profile).effect {
                 Effect::Binding => late > LONE && card.passed > sent,
-                _ => late > LONE && !card.aside || late > 1.0 && card.passed > sent,
+                _ => {
+                    late > LONE && !card.aside
+                        || late > 1.0 && (card.passed > sent || std::mem::take(&mut crowded))
+                }
             };
             if lost {
                 packet.called_off = true;
@@ -819,9 +822,14 @@
         self.destinations.retain(|_, d| !(d.cards.is_empty() && d.packets.is_empty() && d.gates.is_empty()));
         self.states.retain(|id, _| self.destinations.contains_key(id));
         let lossy = self.lost > LOSSY;
-        self.post
-            .destinations
-            .extend(self.destinations.keys().map(|id| (*id, ToDestination::Tick { lossy })));
+        let held: usize = self.states.values().filter(|s| s.1).map(|s| s.0).sum();
+        let full = self.states.values().map(|s| s.0).sum::<usize>() >= self.terms.slots as usize;
+        for id in self.destinations.keys() {
+            // Guards the slots: calls that troubled destinations took while well go back, the longest out first.
+            let troubled = self.states.get(id).is_some_and(|s| s.1);
+            let crowded = troubled && full && held as f64 > CAP_ALL_TROUBLED * f64::from(self.terms.slots);
+            self.post.destinations.push_back((*id, ToDestination::Tick { lossy, crowded }));
+        }
         let kept = ((f64::from(self.terms.room) * ROOM_KEPT).ceil() as usize).max(1);
         let most = (self.terms.room as usize).saturating_sub(kept).max(1);
         if self.book.len() > most {
