--- a/src/rules.rs
+++ b/src/rules.rs
@@ -392,8 +392,7 @@
                 Effect::Binding => late > LONE && card.passed > sent,
                 _ => {
                     late > LONE && !card.aside
-                        || late > 1.0 && card.passed > sent
-                        || late > LONE && std::mem::take(&mut crowded)
+                        || late > 1.0 && (card.passed > sent || std::mem::take(&mut crowded))
                 }
             };
             if lost {
@@ -828,7 +827,7 @@
         for id in self.destinations.keys() {
             // Guards the slots: calls that troubled destinations took while well go back, the longest out first.
             let troubled = self.states.get(id).is_some_and(|s| s.1);
-            let crowded = troubled && full && held as f64 > CAP_ALL_TROUBLED * f64::from(self.terms.slots);
+            let crowded = troubled && full && held as f64 > CAP_WELL * f64::from(self.terms.slots);
             self.post.destinations.push_back((*id, ToDestination::Tick { lossy, crowded }));
         }
         let kept = ((f64::from(self.terms.room) * ROOM_KEPT).ceil() as usize).max(1);
