--- a/src/rules.rs
+++ b/src/rules.rs
@@ -787,7 +787,7 @@
             Event::List(news) => self.list(now, news),
             Event::Packet(arrival) => self.arrival(now, arrival),
             Event::TripEnded { id, target, outcome, took, closed, report, .. } => {
-                let lost = f64::from(u8::from(outcome == Outcome::CalledOff));
+                let lost = f64::from(u8::from(matches!(outcome, Outcome::CalledOff | Outcome::Timeout)));
                 self.lost += NEW_LOST * (lost - self.lost);
                 self.report(target, &report);
                 self.pass_on(id, ToDestination::Over { id, target, outcome, took, closed });
