--- a/src/rules.rs
+++ b/src/rules.rs
@@ -29,9 +29,8 @@
 const TAIL: f64 = 8.0; // mean deviations above the mean that a trip may take: answers have long tails
 const SILENCE: Micros = 1_000_000; // µs without answer that mean nothing yet: over any short pause
 const LONE: f64 = 2.0; // patiences with a trip that no later call has passed: less is known of it
-const LOSSY: f64 = 0.05; // part of a destination's trips unanswered that counts: one of the last ten or so
-const NEW_LOST: f64 = 0.1; // weight of a trip in that part: some ten trips
-const WIDE: f64 = 0.4; // of the destinations, losing trips: the way itself is at fault, no trouble hits so many
+const LOSSY: f64 = 0.1; // part of all trips called off from which the way itself is at fault: rare otherwise
+const NEW_LOST: f64 = 0.03; // weight of a trip in that part: some thirty trips
 const LOSSY_HASTE: f64 = 0.3; // of the patience, while trips get lost: a loss is likelier than a slow answer
 const PLACES: f64 = 2.0; // calls at once, times what the listed rate keeps busy: as many again in its queue
 const FIRST_PLACES: usize = 4; // calls at once, before the first answer: enough to learn from
@@ -85,7 +84,7 @@
     Ended { id: PacketId },
     Unclear { key: OrderKey },
     Bid { destination: DestinationId, gain: f64 },
-    State(DestinationId, State),
+    State { destination: DestinationId, calls: usize, troubled: bool, waiting: usize },
 }
 
 enum ToDestination {
@@ -111,15 +110,6 @@
     Tick { capacity: f64, held: bool },
 }
 
-/// What the forwarder knows of a destination.
-#[derive(Clone, Copy)]
-struct State {
-    calls: usize,
-    waiting: usize,
-    troubled: bool,
-    lossy: bool,
-}
-
 /// What a destination knows of one of its targets.
 #[derive(Clone, Default)]
 struct Card {
@@ -263,8 +253,6 @@
     /// Packets waiting or out; each leaves with its final answer.
     packets: BTreeMap<PacketId, Packet>,
     pick: Option<TargetId>,
-    /// Part of its latest trips that got no answer.
-    lost: f64,
 }
 
 impl Destination {
@@ -307,9 +295,9 @@
             ToDestination::Award => self.carry(desk),
             ToDestination::Shed => self.shed(desk),
         }
-        let (calls, waiting) = (self.cards.values().map(|c| c.calls).sum(), self.line().count());
-        let state = State { calls, waiting, troubled: self.troubled(), lossy: self.lost > LOSSY };
-        desk.tell(ToForwarder::State(self.id, state));
+        let calls = self.cards.values().map(|c| c.calls).sum();
+        let (destination, waiting, troubled) = (self.id, self.line().count(), self.troubled());
+        desk.tell(ToForwarder::State { destination, calls, troubled, waiting });
     }
 
     fn line(&self) -> impl Iterator<Item = &Packet> {
@@ -338,8 +326,6 @@
     ) {
         let Some(packet) = self.packets.get_mut(&id) else { return };
         let zone = self.cards.get(&target).map_or(0, |c| c.zone);
-        let unanswered = matches!(outcome, Outcome::CalledOff | Outcome::Timeout);
-        self.lost += NEW_LOST * (f64::from(u8::from(unanswered)) - self.lost);
         if let (Outcome::Timeout | Outcome::Reset | Outcome::CalledOff, Some(key)) = (outcome, packet.key) {
             desk.tell(ToForwarder::Unclear { key });
         }
@@ -761,10 +747,12 @@
     /// What is left of each tenant's share.
     shares: Vec<Bucket>,
     /// Calls out, trouble and line of each destination, as it last told.
-    states: BTreeMap<DestinationId, State>,
+    states: BTreeMap<DestinationId, (usize, bool, usize)>,
     bids: Vec<(f64, DestinationId)>,
     woken: bool,
     asked: bool,
+    /// Part of the latest trips, over all targets, that got lost on the way.
+    lost: f64,
 }
 
 impl Forwarder {
@@ -786,6 +774,7 @@
             bids: Vec::new(),
             woken: false,
             asked: false,
+            lost: 0.0,
         }
     }
 
@@ -798,6 +787,8 @@
             Event::List(news) => self.list(now, news),
             Event::Packet(arrival) => self.arrival(now, arrival),
             Event::TripEnded { id, target, outcome, took, closed, report, .. } => {
+                let lost = f64::from(u8::from(matches!(outcome, Outcome::CalledOff | Outcome::Timeout)));
+                self.lost += NEW_LOST * (lost - self.lost);
                 self.report(target, &report);
                 self.pass_on(id, ToDestination::Over { id, target, outcome, took, closed });
             }
@@ -830,19 +821,19 @@
     fn tick(&mut self, now: Micros) {
         self.destinations.retain(|_, d| !(d.cards.is_empty() && d.packets.is_empty() && d.gates.is_empty()));
         self.states.retain(|id, _| self.destinations.contains_key(id));
-        let lossy = self.states.values().filter(|s| s.lossy).count() as f64 > WIDE * self.states.len() as f64;
-        let held: usize = self.states.values().filter(|s| s.troubled).map(|s| s.calls).sum();
-        let full = self.states.values().map(|s| s.calls).sum::<usize>() >= self.terms.slots as usize;
+        let lossy = self.lost > LOSSY;
+        let held: usize = self.states.values().filter(|s| s.1).map(|s| s.0).sum();
+        let full = self.states.values().map(|s| s.0).sum::<usize>() >= self.terms.slots as usize;
         for id in self.destinations.keys() {
             // Guards the slots: calls that troubled destinations took while well go back, the longest out first.
-            let troubled = self.states.get(id).is_some_and(|s| s.troubled);
+            let troubled = self.states.get(id).is_some_and(|s| s.1);
             let crowded = troubled && full && held as f64 > CAP_WELL * f64::from(self.terms.slots);
             self.post.destinations.push_back((*id, ToDestination::Tick { lossy, crowded }));
         }
         let kept = ((f64::from(self.terms.room) * ROOM_KEPT).ceil() as usize).max(1);
         let most = (self.terms.room as usize).saturating_sub(kept).max(1);
         if self.book.len() > most {
-            if let Some((longest, _)) = self.states.iter().max_by_key(|(_, s)| s.waiting) {
+            if let Some((longest, _)) = self.states.iter().max_by_key(|(_, s)| s.2) {
                 let sheds = (most..self.book.len()).map(|_| (*longest, ToDestination::Shed));
                 self.post.destinations.extend(sheds);
             }
@@ -982,7 +973,9 @@
                 }
             }
             ToForwarder::Bid { destination, gain } => self.bids.push((gain, destination)),
-            ToForwarder::State(destination, state) => drop(self.states.insert(destination, state)),
+            ToForwarder::State { destination, calls, troubled, waiting } => {
+                self.states.insert(destination, (calls, troubled, waiting));
+            }
         }
     }
 
@@ -991,18 +984,18 @@
         let slots = self.terms.slots as usize;
         let troubled_cap = ((CAP_ALL_TROUBLED * slots as f64) as usize).max(1);
         loop {
-            let out: usize = self.states.values().map(|s| s.calls).sum();
-            let out_troubled: usize = self.states.values().filter(|s| s.troubled).map(|s| s.calls).sum();
+            let out: usize = self.states.values().map(|s| s.0).sum();
+            let out_troubled: usize = self.states.values().filter(|s| s.1).map(|s| s.0).sum();
             let mut free = slots.saturating_sub(out);
             let mut free_troubled = troubled_cap.saturating_sub(out_troubled).min(free);
-            let waiting = self.states.iter().filter(|(_, s)| free > 0 && s.waiting > 0);
+            let waiting = self.states.iter().filter(|(_, s)| free > 0 && s.2 > 0);
             self.post.destinations.extend(waiting.map(|(id, _)| (*id, ToDestination::Offer)));
             self.settle(now, actions);
             let mut bids = std::mem::take(&mut self.bids);
             bids.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
             let before = free;
             for (_, id) in bids {
-                let troubled = self.states.get(&id).is_some_and(|s| s.troubled);
+                let troubled = self.states.get(&id).is_some_and(|s| s.1);
                 if free == 0 || (troubled && free_troubled == 0) {
                     continue;
                 }
