--- a/src/rules.rs
+++ b/src/rules.rs
@@ -753,6 +753,7 @@
     asked: bool,
     /// Part of the latest trips, over all targets, that got lost on the way.
     lost: f64,
+    lost_at: Option<DestinationId>,
 }
 
 impl Forwarder {
@@ -775,6 +776,7 @@
             woken: false,
             asked: false,
             lost: 0.0,
+            lost_at: None,
         }
     }
 
@@ -787,7 +789,10 @@
             Event::List(news) => self.list(now, news),
             Event::Packet(arrival) => self.arrival(now, arrival),
             Event::TripEnded { id, target, outcome, took, closed, report, .. } => {
-                let lost = f64::from(u8::from(matches!(outcome, Outcome::CalledOff | Outcome::Timeout)));
+                let at = self.book.get(&id).map(|(destination, _)| *destination);
+                let unanswered = matches!(outcome, Outcome::CalledOff | Outcome::Timeout);
+                // One silent or slow destination is no sign of a lossy way: only a change of place counts.
+                let lost = f64::from(u8::from(unanswered && std::mem::replace(&mut self.lost_at, at) != at));
                 self.lost += NEW_LOST * (lost - self.lost);
                 self.report(target, &report);
                 self.pass_on(id, ToDestination::Over { id, target, outcome, took, closed });
