--- a/src/rules.rs
+++ b/src/rules.rs
@@ -603,7 +603,10 @@
         match outcome {
             // Guards against taking a full connection table for an outage: others of our calls got through.
             Outcome::NoConnection if desk.now < self.answered + 2 * SILENCE => return,
-            Outcome::CalledOff | Outcome::Moot { .. } => return,
+            Outcome::Moot { .. } => return,
+            // A trip that no later call had passed tells that the target is at least so slow.
+            Outcome::CalledOff if desk.now - took > self.card.passed => return self.learn(took as f64),
+            Outcome::CalledOff => return,
             Outcome::Delivered => {
                 (self.answered, self.failures) = (desk.now, 0);
                 self.learn(took as f64);
