--- a/src/rules.rs
+++ b/src/rules.rs
@@ -26,10 +26,10 @@
 const SLOW: f64 = 3.0; // times its usual answer time from which a target runs long: over common swings
 const NEW_ANSWER: f64 = 0.125; // weight of an answer in the short mean: some eight answers
 const NEW_USUAL: f64 = 0.02; // weight of an answer in the long mean: some fifty answers
-const TAIL: f64 = 5.0; // mean deviations above the mean that a trip may take: answers have long tails
+const TAIL: f64 = 8.0; // mean deviations above the mean that a trip may take: answers have long tails
 const SILENCE: Micros = 1_000_000; // µs without answer that mean nothing yet: over any short pause
 const LONE: f64 = 2.0; // patiences with a trip that no later call has passed: less is known of it
-const LOSSY: f64 = 0.1; // part of all trips called off from which the way itself is at fault: rare otherwise
+const LOSSY: f64 = 0.18; // part of all trips called off from which the way itself is at fault: rare otherwise
 const NEW_LOST: f64 = 0.03; // weight of a trip in that part: some thirty trips
 const LOSSY_HASTE: f64 = 0.3; // of the patience, while trips get lost: a loss is likelier than a slow answer
 const PLACES: f64 = 2.0; // calls at once, times what the listed rate keeps busy: as many again in its queue
@@ -603,10 +603,7 @@
         match outcome {
             // Guards against taking a full connection table for an outage: others of our calls got through.
             Outcome::NoConnection if desk.now < self.answered + 2 * SILENCE => return,
-            Outcome::Moot { .. } => return,
-            // A trip that no later call had passed tells that the target is at least so slow.
-            Outcome::CalledOff if desk.now - took > self.card.passed => return self.learn(took as f64),
-            Outcome::CalledOff => return,
+            Outcome::CalledOff | Outcome::Moot { .. } => return,
             Outcome::Delivered => {
                 (self.answered, self.failures) = (desk.now, 0);
                 self.learn(took as f64);
@@ -756,7 +753,6 @@
     asked: bool,
     /// Part of the latest trips, over all targets, that got lost on the way.
     lost: f64,
-    lost_at: Option<DestinationId>,
 }
 
 impl Forwarder {
@@ -779,7 +775,6 @@
             woken: false,
             asked: false,
             lost: 0.0,
-            lost_at: None,
         }
     }
 
@@ -792,10 +787,7 @@
             Event::List(news) => self.list(now, news),
             Event::Packet(arrival) => self.arrival(now, arrival),
             Event::TripEnded { id, target, outcome, took, closed, report, .. } => {
-                let at = self.book.get(&id).map(|(destination, _)| *destination);
-                let unanswered = matches!(outcome, Outcome::CalledOff | Outcome::Timeout);
-                // One silent or slow destination is no sign of a lossy way: only a change of place counts.
-                let lost = f64::from(u8::from(unanswered && std::mem::replace(&mut self.lost_at, at) != at));
+                let lost = f64::from(u8::from(matches!(outcome, Outcome::CalledOff | Outcome::Timeout)));
                 self.lost += NEW_LOST * (lost - self.lost);
                 self.report(target, &report);
                 self.pass_on(id, ToDestination::Over { id, target, outcome, took, closed });
