Read lists in one pass, ask again for a failed list after a second, mend the tests

New test: several hanging destinations do not keep all slots; it was seen to fail with the guard taken out.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -46,7 +46,7 @@
 const RIDER: f64 = 0.15; // calls, what a further packet in a call weighs while cold: it is a little work
 const PROBE_GAP: Micros = 500_000; // µs between probes of one target: a return is seen soon enough
 const DEAF_PROBES: u32 = 3; // probes unanswered in a row after which a packet tries: probes may be what fails
-const ROOM_KEPT: f64 = 0.05; // of the room kept free: the door must not turn work away blindly
+const ROOM_USED: f64 = 0.95; // of the room that is used: the door must not turn work away blindly
 const SHARE_BURST: f64 = 2.0; // seconds of a tenant's share that may come at once: arrivals are uneven
 const COME_BACK: Micros = 1_000_000; // µs that a client is asked to stay away where no hold tells better
 
@@ -378,22 +378,18 @@
     /// Guards against trips that get lost on the way: a trip that calls sent later have passed, and that is long
     /// over its time, is called off and retried. Where nothing is answered it goes on, for its answer may come.
     fn call_off(&mut self, lossy: bool, mut crowded: bool, desk: &mut Desk) {
-        if !desk.terms.may_call_off {
-            return;
-        }
-        for packet in self.packets.values_mut().filter(|p| !p.called_off && !p.over) {
+        let may = desk.terms.may_call_off;
+        for packet in self.packets.values_mut().filter(|p| may && !p.called_off && !p.over) {
             let Some((target, sent)) = packet.out else { continue };
             let Some(card) = self.cards.get(&target) else { continue };
             let haste = if lossy { LOSSY_HASTE } else { 1.0 };
             let patience = haste * card.trip_time * f64::from(1u32 << (packet.trips - 1).min(8));
             let late = (desk.now - sent) as f64 / patience;
             // A binding packet is lost with its trip, so only what is lost for sure gives back its slot.
+            let (passed, overdue) = (card.passed > sent, late > LONE);
             let lost = match desk.row(packet.profile).effect {
-                Effect::Binding => late > LONE && card.passed > sent,
-                _ => {
-                    late > LONE && !card.aside
-                        || late > 1.0 && (card.passed > sent || std::mem::take(&mut crowded))
-                }
+                Effect::Binding => passed && overdue,
+                _ => overdue && !card.aside || late > 1.0 && (passed || std::mem::take(&mut crowded)),
             };
             if lost {
                 packet.called_off = true;
@@ -750,7 +746,7 @@
     states: BTreeMap<DestinationId, (usize, bool, usize)>,
     bids: Vec<(f64, DestinationId)>,
     woken: bool,
-    asked: bool,
+    ask_at: Micros,
     /// Part of the latest trips, over all targets, that got lost on the way.
     lost: f64,
 }
@@ -773,14 +769,14 @@
             states: BTreeMap::new(),
             bids: Vec::new(),
             woken: false,
-            asked: false,
+            ask_at: 0,
             lost: 0.0,
         }
     }
 
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
-        if self.terms.list_must_be_asked && !self.asked {
-            self.asked = true;
+        if self.terms.list_must_be_asked && now >= self.ask_at {
+            self.ask_at = Micros::MAX;
             actions.push(Action::Watch { on: true });
         }
         match event {
@@ -822,16 +818,15 @@
         self.destinations.retain(|_, d| !(d.cards.is_empty() && d.packets.is_empty() && d.gates.is_empty()));
         self.states.retain(|id, _| self.destinations.contains_key(id));
         let lossy = self.lost > LOSSY;
-        let held: usize = self.states.values().filter(|s| s.1).map(|s| s.0).sum();
-        let full = self.states.values().map(|s| s.0).sum::<usize>() >= self.terms.slots as usize;
+        let (out, out_troubled) = self.calls_out();
+        let slots = self.terms.slots as usize;
+        let crowded = out >= slots && out_troubled as f64 > CAP_WELL * slots as f64;
         for id in self.destinations.keys() {
             // Guards the slots: calls that troubled destinations took while well go back, the longest out first.
-            let troubled = self.states.get(id).is_some_and(|s| s.1);
-            let crowded = troubled && full && held as f64 > CAP_WELL * f64::from(self.terms.slots);
+            let crowded = crowded && self.states.get(id).is_some_and(|s| s.1);
             self.post.destinations.push_back((*id, ToDestination::Tick { lossy, crowded }));
         }
-        let kept = ((f64::from(self.terms.room) * ROOM_KEPT).ceil() as usize).max(1);
-        let most = (self.terms.room as usize).saturating_sub(kept).max(1);
+        let most = ((f64::from(self.terms.room) * ROOM_USED) as usize).max(1);
         if self.book.len() > most {
             if let Some((longest, _)) = self.states.iter().max_by_key(|(_, s)| s.2) {
                 let sheds = (most..self.book.len()).map(|_| (*longest, ToDestination::Shed));
@@ -857,45 +852,33 @@
     }
 
     fn list(&mut self, now: Micros, news: ListNews) {
-        let (entries, whole) = match news {
+        let (mut entries, whole) = match news {
             ListNews::Changes(entries) => (entries, false),
             ListNews::Whole(entries) | ListNews::Cached(entries) => (entries, true),
-            ListNews::Failed => {
-                self.asked = false;
-                return;
-            }
+            ListNews::Failed => return self.ask_at = now + COME_BACK,
         };
-        if whole {
-            let missing: Vec<TargetId> =
-                self.targets.keys().filter(|t| !entries.iter().any(|e| e.target == **t)).copied().collect();
-            missing.into_iter().for_each(|t| self.listed(t, ZoneId(0), Standing::Gone, 0.0));
-        }
-        for entry in entries {
-            let kind = self.terms.kinds.get(entry.kind.0 as usize).or(self.terms.kinds.last());
-            let per_call = kind.map_or(1, |k| k.per_call.max(1) as usize);
-            let d = entry.destination;
-            let destination =
-                self.destinations.entry(d).or_insert_with(|| Destination { id: d, ..Destination::default() });
-            if destination.cards.is_empty() {
-                (destination.apart, destination.per_call) = (kind.is_some_and(|k| k.routes_apart), per_call);
+        for (target, t) in self.targets.iter().filter(|_| whole) {
+            if !entries.iter().any(|e| e.target == *target) {
+                let (zone, destination, standing) = (ZoneId(t.card.zone), t.destination, Standing::Gone);
+                let (target, kind) = (*target, KindId(0));
+                entries.push(Listing { target, zone, since: 0, standing, rate: 0.0, destination, kind });
             }
-            if entry.standing != Standing::Gone {
-                self.targets
-                    .entry(entry.target)
-                    .or_insert_with(|| Target::new(entry.target, d, per_call, now));
-            }
-            self.listed(entry.target, entry.zone, entry.standing, f64::from(entry.rate));
         }
-    }
-
-    fn listed(&mut self, target: TargetId, zone: ZoneId, standing: Standing, rate: f64) {
-        let Some(t) = self.targets.get(&target) else { return };
-        let apart = self.destinations.get(&t.destination).is_some_and(|d| d.apart);
-        let fee = if apart { self.terms.zone_fees.get(zone.0 as usize).copied().unwrap_or(0.0) } else { 0.0 };
-        if standing != Standing::Gone {
-            self.post.destinations.push_back((t.destination, ToDestination::Listed { target, rate }));
+        for Listing { target, zone, standing, rate, destination, kind, .. } in entries {
+            let kind = self.terms.kinds.get(kind.0 as usize).or(self.terms.kinds.last());
+            let (apart, per_call) = kind.map_or((false, 1), |k| (k.routes_apart, k.per_call.max(1) as usize));
+            if standing != Standing::Gone {
+                let d = self.destinations.entry(destination).or_default();
+                if d.cards.is_empty() {
+                    (d.id, d.apart, d.per_call) = (destination, apart, per_call);
+                }
+                self.targets.entry(target).or_insert_with(|| Target::new(target, destination, per_call, now));
+                let note = ToDestination::Listed { target, rate: rate.into() };
+                self.post.destinations.push_back((destination, note));
+            }
+            let fee = self.terms.zone_fees.get(zone.0 as usize).filter(|_| apart).copied().unwrap_or(0.0);
+            self.post.targets.push_back((target, ToTarget::Listed { zone, standing, fee }));
         }
-        self.post.targets.push_back((target, ToTarget::Listed { zone, standing, fee }));
     }
 
     fn arrival(&mut self, now: Micros, arrival: Arrival) {
@@ -922,9 +905,7 @@
             self.turns.entry(key).or_default().line.push_back((id, destination));
         }
         self.book.insert(id, (destination, key));
-        self.destinations
-            .entry(destination)
-            .or_insert_with(|| Destination { id: destination, ..Destination::default() });
+        self.destinations.entry(destination).or_default().id = destination;
         self.post.destinations.push_back((destination, ToDestination::Take(packet)));
         self.pass_turn(now, key);
     }
@@ -979,13 +960,17 @@
         }
     }
 
+    /// Calls out, to all destinations and to the troubled ones.
+    fn calls_out(&self) -> (usize, usize) {
+        self.states.values().fold((0, 0), |(all, bad), s| (all + s.0, bad + if s.1 { s.0 } else { 0 }))
+    }
+
     /// Offers free slots to the lines until none wants one: the packet that loses most by waiting goes first.
     fn deal(&mut self, now: Micros, actions: &mut Vec<Action>) {
         let slots = self.terms.slots as usize;
         let troubled_cap = ((CAP_ALL_TROUBLED * slots as f64) as usize).max(1);
         loop {
-            let out: usize = self.states.values().map(|s| s.0).sum();
-            let out_troubled: usize = self.states.values().filter(|s| s.1).map(|s| s.0).sum();
+            let (out, out_troubled) = self.calls_out();
             let mut free = slots.saturating_sub(out);
             let mut free_troubled = troubled_cap.saturating_sub(out_troubled).min(free);
             let waiting = self.states.iter().filter(|(_, s)| free > 0 && s.2 > 0);
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -55,30 +55,22 @@
 
 #[test]
 fn waits_between_trips_double_up_to_a_quarter_of_expiry() -> Checked {
-    let mut terms = terms();
-    terms.max_trips = 8;
-    terms.profiles[0].expiry = 4_000 * MS;
-    terms.profiles[0].contract_time = 4_000 * MS;
-    let mut world = World::new(terms, vec![listing(1, 0, 200.0), listing(2, 1, 200.0)]);
-    let id = world.arrive(0, 0, None, 4_000 * MS)?;
+    let mut world = World::new(terms(), (1..7).map(|n| listing(n, 0, 200.0)).collect());
+    let id = world.arrive(0, 0, None, 8_000 * MS)?;
     let mut ended = Vec::new();
-    while !written_off(&world, id) {
+    for _ in 0..5 {
         ended.push(world.now);
-        world.end(id, Outcome::Full { wait: None })?;
-        // Another target answers in between; only the packet's own waits count here.
-        let before = sends(&world, id).len();
-        while sends(&world, id).len() == before && !written_off(&world, id) {
-            world.pass(10 * MS)?;
-        }
-        if ended.len() == 2 {
-            break;
+        world.end(id, Outcome::Error)?;
+        while sends(&world, id).len() == ended.len() {
+            world.pass(5 * MS)?;
         }
     }
-    for (n, (end, next)) in ended.iter().zip(sends(&world, id).iter().skip(1)).enumerate() {
-        let (wait, least) = (next - end, (100 * MS) << n);
-        assert!(wait >= least && wait <= least * 3 / 2 + 20 * MS, "wait {n} was {wait}, at least {least}");
+    let sent = sends(&world, id);
+    let mut waits = ended.iter().zip(&sent[1..]).map(|(end, next)| next - end);
+    for least in [100, 200, 400, 800, 1_600].map(|w| w * MS) {
+        let wait = waits.next().ok_or("too few trips")?;
+        assert!(wait >= least && wait <= least * 3 / 2 + 20 * MS, "waited {wait}, at least {least}");
     }
-    assert_eq!(ended.len(), 2);
     Ok(())
 }
 
@@ -252,14 +244,35 @@
     Ok(())
 }
 
+/// Binding trips whose answers got lost once held their slots until expiry.
 #[test]
-fn a_binding_trip_is_never_called_off() -> Checked {
-    let mut world = one_target();
-    good_times(&mut world, 5)?;
-    let id = world.arrive(2, 0, None, 8_000 * MS)?;
-    world.pass(50 * MS)?;
-    good_times(&mut world, 5)?;
-    assert!(!world.actions.contains(&Action::CallOff { id, trip: 0 }));
+fn a_binding_trip_is_called_off_only_when_passed_and_is_then_written_off() -> Checked {
+    for passed in [false, true] {
+        let mut world = one_target();
+        good_times(&mut world, 5)?;
+        let id = world.arrive(2, 0, None, 8_000 * MS)?;
+        match passed {
+            true => good_times(&mut world, 5)?,
+            false => world.pass(5_000 * MS)?,
+        }
+        assert_eq!(world.actions.contains(&Action::CallOff { id, trip: 0 }), passed);
+        assert_eq!((written_off(&world, id), sends(&world, id).len()), (passed, 1));
+    }
+    Ok(())
+}
+
+/// Several destinations that hung at once once kept all slots with the calls they had taken while well.
+#[test]
+fn troubled_destinations_do_not_keep_all_slots() -> Checked {
+    let mut world = World::new(terms(), (0..4).map(|n| listing(n, u16::from(n), 50.0)).collect());
+    for destination in [1, 2, 1, 2, 1, 2, 1, 2, 1, 2, 1, 2] {
+        world.arrive(0, destination, None, 8_000 * MS)?;
+        world.pass(10 * MS)?;
+    }
+    let id = world.arrive(0, 0, None, 8_000 * MS)?;
+    assert!(sends(&world, id).is_empty(), "no slot is left");
+    world.pass(2_500 * MS)?;
+    assert_eq!(sends(&world, id).len(), 1);
     Ok(())
 }
 
