--- a/src/rules.rs
+++ b/src/rules.rs
@@ -388,7 +388,7 @@
             // A binding packet is lost with its trip, so only what is lost for sure gives back its slot.
             let (passed, overdue) = (card.passed > sent, late > LONE);
             let lost = match desk.row(packet.profile).effect {
-                Effect::Binding => passed && overdue,
+                Effect::Binding => overdue && passed || late > LONE * LONE && !card.aside,
                 _ => overdue && !card.aside || late > 1.0 && (passed || std::mem::take(&mut crowded)),
             };
             if lost {
