--- a/src/rules.rs
+++ b/src/rules.rs
@@ -382,9 +382,8 @@
         for packet in self.packets.values_mut().filter(|p| may && !p.called_off && !p.over) {
             let Some((target, sent)) = packet.out else { continue };
             let Some(card) = self.cards.get(&target) else { continue };
-            // Each trip of a packet may take twice as long, for some are heavy; not so where trips get lost.
-            let room = if lossy { LOSSY_HASTE } else { f64::from(1u32 << (packet.trips - 1).min(8)) };
-            let patience = room * card.trip_time;
+            let haste = if lossy { LOSSY_HASTE } else { 1.0 };
+            let patience = haste * card.trip_time * f64::from(1u32 << (packet.trips - 1).min(8));
             let late = (desk.now - sent) as f64 / patience;
             // A binding packet is lost with its trip, so only what is lost for sure gives back its slot.
             let (passed, overdue) = (card.passed > sent, late > LONE);
