--- a/src/rules.rs
+++ b/src/rules.rs
@@ -591,7 +591,7 @@
                 self.tick(held, desk);
             }
         }
-        let card = self.card();
+        let card = self.card(desk);
         desk.post.destinations.push_back((self.destination, ToDestination::Card { target: self.id, card }));
     }
 
@@ -697,7 +697,7 @@
         (1.0 + PLACES * self.capacity * self.usual / SECOND).ceil() as usize
     }
 
-    fn card(&mut self) -> Card {
+    fn card(&mut self, desk: &Desk) -> Card {
         let room = self.places().saturating_sub(self.calls.len());
         let cold = self.budget.left as usize; // no less than nought
         let open = match self.health {
@@ -707,7 +707,10 @@
             Health::Warming(_) => room.min(cold),
         };
         let failed = self.recent.iter().filter(|s| !**s).count();
-        let (aside, slow) = (self.aside(), self.mean > SLOW * self.usual);
+        // Runs long: in its recent answers, or in a call out with no answer since.
+        let waits = |c: &Call| c.sent >= self.answered && (desk.now - c.sent) as f64 > SLOW * self.usual;
+        let slow = self.mean > SLOW * self.usual || self.usual > 0.0 && self.calls.iter().any(waits);
+        let aside = self.aside();
         let card = &mut self.card;
         card.open = open;
         card.calls = self.calls.len();
