--- a/src/rules.rs
+++ b/src/rules.rs
@@ -708,7 +708,9 @@
         };
         let failed = self.recent.iter().filter(|s| !**s).count();
         // Runs long: in its recent answers, or in a call out with no answer since.
-        let waits = |c: &Call| c.sent >= self.answered && (desk.now - c.sent) as f64 > SLOW * self.usual;
+        let waits = |c: &Call| {
+            c.sent >= self.answered && (desk.now - c.sent) as f64 > self.mean + TAIL / 2.0 * self.deviation
+        };
         let slow = self.mean > SLOW * self.usual || self.usual > 0.0 && self.calls.iter().any(waits);
         let aside = self.aside();
         let card = &mut self.card;
