--- a/src/rules.rs
+++ b/src/rules.rs
@@ -402,8 +402,7 @@
     /// A final answer for a packet that waits: deferred where trying again is harmless, else written off.
     fn give_up(&mut self, id: PacketId, desk: &mut Desk) {
         let Some(packet) = self.packets.get(&id) else { return };
-        let row = desk.row(packet.profile);
-        let harmless = packet.exposed.is_none() || row.effect == Effect::Retriable;
+        let harmless = packet.exposed.is_none() || desk.row(packet.profile).effect == Effect::Retriable;
         let held = self.gates.values().map(|g| g.held).min().unwrap_or(0).saturating_sub(desk.now);
         let come_back = COME_BACK.max(held).min(desk.terms.longest_return);
         let answer = match harmless && desk.now + come_back < packet.expires {
@@ -546,7 +545,7 @@
     fn read(&mut self, note: ToTarget, desk: &mut Desk) {
         match note {
             ToTarget::Listed { zone, standing, fee } => {
-                (self.card.zone, self.standing, self.card.fee) = (zone.0, standing, fee);
+                (self.card.zone, self.standing, self.card.fee) = (zone.0, standing, fee)
             }
             ToTarget::Board => match self.calls.last_mut() {
                 Some(call) if call.sent == desk.now && call.riders < self.per_call => {
@@ -667,25 +666,27 @@
 
     fn tick(&mut self, held: bool, desk: &mut Desk) {
         self.budget.fill(desk.now, self.cold_rate(desk.now, desk.terms), 1.0);
-        let warm_after = desk.terms.rules.warm_after;
-        if matches!(self.health, Health::Warming(since) if desk.now >= since.saturating_add(warm_after)) {
+        let warm = |since: Micros| desk.now >= since.saturating_add(desk.terms.rules.warm_after);
+        if matches!(self.health, Health::Warming(since) if warm(since)) {
             self.health = Health::Well;
         }
         // Guards against work sunk into a target that takes calls and answers none.
-        let patience = ((self.mean + TAIL * self.deviation) as Micros).max(SILENCE);
-        let still = |c: &&Call| c.sent >= self.answered && desk.now > c.sent + patience;
-        if self.health == Health::Well && self.calls.iter().filter(still).count() >= 2 {
+        if self.health == Health::Well && self.silent(desk.now, self.card.trip_time) >= 2 {
             self.set_aside("it keeps silent", desk);
         }
-        let aside = self.health == Health::Aside;
-        let free = self.standing == Standing::Ready && !held;
-        if aside && free && desk.terms.may_probe && desk.now >= self.next_probe && self.budget.left >= 1.0 {
+        let may = desk.terms.may_probe && self.standing == Standing::Ready && !held;
+        if may && self.health == Health::Aside && desk.now >= self.next_probe && self.budget.left >= 1.0 {
             self.budget.left -= 1.0;
             self.next_probe = Micros::MAX; // until this one is answered
             desk.act(Action::Probe { target: self.id });
         }
     }
 
+    /// Calls out for so long with no answer since.
+    fn silent(&self, now: Micros, time: f64) -> usize {
+        self.calls.iter().filter(|c| c.sent >= self.answered && (now - c.sent) as f64 > time).count()
+    }
+
     fn aside(&self) -> bool {
         matches!(self.health, Health::Aside | Health::Probed)
     }
@@ -708,10 +709,8 @@
         };
         let failed = self.recent.iter().filter(|s| !**s).count();
         // Runs long: in its recent answers, or in a call out with no answer since.
-        let waits = |c: &Call| {
-            c.sent >= self.answered && (desk.now - c.sent) as f64 > self.mean + TAIL / 2.0 * self.deviation
-        };
-        let slow = self.mean > SLOW * self.usual || self.usual > 0.0 && self.calls.iter().any(waits);
+        let late = self.mean + TAIL / 2.0 * self.deviation;
+        let slow = self.mean > SLOW * self.usual || late > 0.0 && self.silent(desk.now, late) > 0;
         let aside = self.aside();
         let card = &mut self.card;
         card.open = open;
