--- a/src/rules.rs
+++ b/src/rules.rs
@@ -502,7 +502,6 @@
     Warming(Micros),
 }
 
-/// One call under way; its packets share its fate.
 struct Call {
     sent: Micros,
     riders: usize,
@@ -578,8 +577,10 @@
                 }
             }
             ToTarget::Probed { outcome } => {
-                self.next_probe =
-                    desk.now + PROBE_GAP + (PROBE_GAP as f64 * JITTER * desk.rng.random::<f64>()) as Micros;
+                if self.standing != Standing::Gone {
+                    let chance = JITTER * desk.rng.random::<f64>();
+                    self.next_probe = desk.now + PROBE_GAP + (PROBE_GAP as f64 * chance) as Micros;
+                }
                 // Guards against probes that fail where calls would not: some packet tries in their stead.
                 self.deaf = if outcome == Outcome::Delivered { 0 } else { self.deaf + 1 };
                 if self.health == Health::Aside && self.deaf.is_multiple_of(DEAF_PROBES) {
@@ -639,7 +640,6 @@
         if !self.aside() {
             self.log(&format!("set aside: {why}"), desk);
             self.budget.left = 0.0;
-            self.next_probe = desk.now;
         }
         self.health = if desk.terms.may_probe { Health::Aside } else { Health::Probed };
         self.recent.clear();
@@ -841,7 +841,7 @@
         for key in self.turns.keys().copied().collect::<Vec<_>>() {
             self.pass_turn(now, Some(key));
         }
-        let idle = |t: &Target| t.calls.is_empty() && (t.health == Health::Well || now >= t.next_probe);
+        let idle = |t: &Target| t.calls.is_empty() && now >= t.next_probe;
         let left = self.targets.extract_if(.., |_, t| t.standing == Standing::Gone && idle(t));
         let notes = left.map(|(id, target)| (target.destination, ToDestination::Left(id)));
         self.post.destinations.extend(notes);
