--- a/src/rules.rs
+++ b/src/rules.rs
@@ -705,8 +705,7 @@
         let open = match self.health {
             Health::Well => room,
             Health::Aside => 0,
-            // An answered probe lends the call that follows it: the cold budget pays for it later.
-            Health::Probed => room.min(1).min(cold + usize::from(desk.terms.may_probe)),
+            Health::Probed => room.min(cold).min(1),
             Health::Warming(_) => room.min(cold),
         };
         let failed = self.recent.iter().filter(|s| !**s).count();
