--- a/src/rules.rs
+++ b/src/rules.rs
@@ -34,7 +34,6 @@
 const LOSSY_HASTE: f64 = 0.3; // of the patience, while trips get lost: a loss is likelier than a slow answer
 const PLACES: f64 = 2.0; // calls at once, times what the listed rate keeps busy: as many again in its queue
 const FIRST_PLACES: usize = 4; // calls at once, before the first answer: enough to learn from
-const ROOM_SHORT: Micros = 10_000_000; // µs for which a full connection table is remembered: tables stay short
 const FIRST_PACE: f64 = 1.25; // even shares of the listed rate, at start: shares are not quite even
 const LEAST_PACE: f64 = 0.5; // even shares, the slowest pace: refusals may be others' doing
 const MOST_PACE: f64 = 1.2; // listed rates, the fastest pace: lists can be rough
@@ -533,7 +532,6 @@
     passed: Micros,
     deaf: u32,
     next_probe: Micros,
-    short_of_room: Micros,
 }
 
 impl Target {
@@ -569,10 +567,6 @@
                 let first = !std::mem::replace(&mut call.judged, true);
                 if call.riders == 0 {
                     self.calls.remove(place);
-                    // Guards a full connection table: our idle connections leave room for others' calls.
-                    if self.calls.is_empty() && desk.now < self.short_of_room {
-                        desk.act(Action::CloseIdle { target: self.id });
-                    }
                 }
                 if first {
                     if outcome == Outcome::Delivered {
@@ -605,10 +599,7 @@
     fn judge(&mut self, outcome: Outcome, took: Micros, desk: &mut Desk) {
         match outcome {
             // Guards against taking a full connection table for an outage: others of our calls got through.
-            Outcome::NoConnection if desk.now < self.answered + 2 * SILENCE => {
-                self.short_of_room = desk.now + ROOM_SHORT;
-                return;
-            }
+            Outcome::NoConnection if desk.now < self.answered + 2 * SILENCE => return,
             Outcome::CalledOff | Outcome::Moot { .. } => return,
             Outcome::Delivered => {
                 (self.answered, self.failures) = (desk.now, 0);
