--- a/src/rules.rs
+++ b/src/rules.rs
@@ -29,7 +29,7 @@
 const TAIL: f64 = 8.0; // mean deviations above the mean that a trip may take: answers have long tails
 const SILENCE: Micros = 1_000_000; // µs without answer that mean nothing yet: over any short pause
 const LONE: f64 = 2.0; // patiences with a trip that no later call has passed: less is known of it
-const LOSSY: f64 = 0.18; // part of all trips called off from which the way itself is at fault: rare otherwise
+const LOSSY: f64 = 0.18; // part of all trips unanswered from which the way itself is at fault: rare otherwise
 const NEW_LOST: f64 = 0.03; // weight of a trip in that part: some thirty trips
 const LOSSY_HASTE: f64 = 0.3; // of the patience, while trips get lost: a loss is likelier than a slow answer
 const PLACES: f64 = 2.0; // calls at once, times what the listed rate keeps busy: as many again in its queue
@@ -170,12 +170,16 @@
         }
     }
 
+    /// µs that its trip may take: each takes twice the time of the one before, for some packets are heavy.
+    fn patience(&self, card: &Card) -> f64 {
+        card.trip_time * f64::from(1u32 << self.trips.saturating_sub(1).min(8))
+    }
+
     /// What is lost by sending it somewhat later, on the scale of the shortest contract time, rather than now.
     fn loss(&self, now: Micros, answer_time: f64, terms: &TermsOfCarriage) -> f64 {
         let ahead = terms.profiles.iter().map(|r| r.contract_time).min().unwrap_or(0) as f64;
         let (now, last) = (now as f64, self.last_send(terms) as f64);
-        let at =
-            |after| if now + after < last { self.worth_at(now + after + answer_time, terms) } else { 0.0 };
+        let at = |t| if now + t < last { self.worth_at(now + t + answer_time, terms) } else { 0.0 };
         at(0.0) - (at(ahead / 4.0) + at(ahead) + at(3.0 * ahead)) / 3.0
     }
 }
@@ -234,9 +238,7 @@
             self.cut = desk.now;
             self.pace = (self.pace * CUT).max(LEAST_PACE);
         }
-        if let Some(wait) = wait {
-            self.held = self.held.max(desk.now + wait);
-        }
+        self.held = self.held.max(desk.now + wait.unwrap_or(0));
     }
 }
 
@@ -247,7 +249,7 @@
     per_call: usize,
     /// A card a target; emptied as targets go.
     cards: BTreeMap<TargetId, Card>,
-    /// One gate, or one a route (then by target); emptied as targets go.
+    /// One gate, or one a route (then by target); emptied as targets go and holds end.
     gates: BTreeMap<Option<TargetId>, Gate>,
     /// Packets waiting or out; each leaves with its final answer.
     packets: BTreeMap<PacketId, Packet>,
@@ -282,12 +284,10 @@
                 let tokens = Bucket { left: 1.0, filled: desk.now };
                 let fresh = Gate { pace: FIRST_PACE, tokens, ..Gate::default() };
                 let known = desk.terms.list_rates != ListRates::Untold && rate.is_finite();
-                self.gates.entry(self.apart.then_some(target)).or_insert(fresh).listed =
-                    if known { rate } else { 0.0 };
-            }
-            ToDestination::Card { target, card } => {
-                _ = self.cards.entry(target).and_modify(|old| *old = card)
+                let gate = self.gates.entry(self.apart.then_some(target)).or_insert(fresh);
+                gate.listed = if known { rate } else { 0.0 };
             }
+            ToDestination::Card { target, card } => _ = self.cards.entry(target).and_modify(|c| *c = card),
             ToDestination::Tick { lossy, crowded } => self.tick(lossy, crowded, desk),
             ToDestination::Offer => self.bid(desk),
             ToDestination::Award => self.carry(desk),
@@ -302,6 +302,11 @@
         self.packets.values().filter(|p| p.out.is_none())
     }
 
+    /// The end of the hold that every way to this destination shares, if there is one.
+    fn held(&self) -> Micros {
+        self.gates.values().map(|g| g.held).min().unwrap_or(0)
+    }
+
     fn troubled(&self) -> bool {
         self.cards.values().any(|c| c.troubled)
     }
@@ -358,8 +363,7 @@
             let note = ToTarget::Tick { capacity, held: desk.now < gate.held };
             desk.post.targets.push_back((*target, note));
         }
-        // The hold that every way to this destination shares, if there is one.
-        let held = self.gates.values().map(|g| g.held).min().unwrap_or(0);
+        let held = self.held();
         self.call_off(lossy, crowded, desk);
         let lost: Vec<PacketId> = self
             .line()
@@ -381,7 +385,7 @@
             let Some((target, sent)) = packet.out else { continue };
             let Some(card) = self.cards.get(&target) else { continue };
             let haste = if lossy { LOSSY_HASTE } else { 1.0 };
-            let patience = haste * card.trip_time * f64::from(1u32 << (packet.trips - 1).min(8));
+            let patience = haste * packet.patience(card);
             let late = (desk.now - sent) as f64 / patience;
             // A binding packet is lost with its trip, so only what is lost for sure gives back its slot.
             let (passed, overdue) = (card.passed > sent, late > LONE);
@@ -401,7 +405,7 @@
     fn give_up(&mut self, id: PacketId, desk: &mut Desk) {
         let Some(packet) = self.packets.get(&id) else { return };
         let harmless = packet.exposed.is_none() || desk.row(packet.profile).effect == Effect::Retriable;
-        let held = self.gates.values().map(|g| g.held).min().unwrap_or(0).saturating_sub(desk.now);
+        let held = self.held().saturating_sub(desk.now);
         let come_back = COME_BACK.max(held).min(desk.terms.longest_return);
         let answer = match harmless && desk.now + come_back < packet.expires {
             true => Action::Defer { id, come_back: desk.terms.may_say_when.then_some(come_back) },
@@ -477,8 +481,8 @@
             packet.out = Some((target, desk.now));
             packet.called_off = false;
             let row = desk.row(packet.profile);
-            let patience = card.trip_time * f64::from(1u32 << packet.trips.min(8));
-            let most = if desk.terms.may_call_off { f64::MAX } else { patience }.min(row.expiry as f64 / 2.0);
+            let patience = if desk.terms.may_call_off { f64::MAX } else { LONE * packet.patience(&card) };
+            let most = patience.min(row.expiry as f64 / 2.0);
             let limit = match row.effect {
                 // A binding packet is lost with its trip: an early time-out gains nothing.
                 Effect::Binding => None,
@@ -741,7 +745,7 @@
     book: BTreeMap<PacketId, (DestinationId, Option<OrderKey>)>,
     /// Emptied of those without targets, packets and holds.
     destinations: BTreeMap<DestinationId, Destination>,
-    /// Emptied of targets that are gone and have no call left.
+    /// Emptied of targets that have been gone for the warm-up time and have no call left.
     targets: BTreeMap<TargetId, Target>,
     /// Emptied of a key once its line is empty and its rest over.
     turns: BTreeMap<OrderKey, Turns>,
@@ -798,10 +802,7 @@
                 self.report(target, &report);
                 self.post.targets.push_back((target, ToTarget::Probed { outcome }));
             }
-            Event::Alarm { .. } => {
-                self.woken = false;
-                self.tick(now);
-            }
+            Event::Alarm { .. } => self.tick(now),
             Event::TripBegun { .. } | Event::Neighbour { .. } => {}
         }
         self.settle(now, actions);
@@ -819,6 +820,7 @@
     }
 
     fn tick(&mut self, now: Micros) {
+        self.woken = false;
         self.destinations.retain(|_, d| !(d.cards.is_empty() && d.packets.is_empty() && d.gates.is_empty()));
         self.states.retain(|id, _| self.destinations.contains_key(id));
         let lossy = self.lost > LOSSY;
@@ -838,9 +840,8 @@
             }
         }
         self.turns.retain(|_, t| !t.line.is_empty() || t.rest > now);
-        for key in self.turns.keys().copied().collect::<Vec<_>>() {
-            self.pass_turn(now, Some(key));
-        }
+        let keys: Vec<OrderKey> = self.turns.keys().copied().collect();
+        keys.into_iter().for_each(|key| self.pass_turn(now, Some(key)));
         let idle = |t: &Target| t.calls.is_empty() && now >= t.next_probe;
         let left = self.targets.extract_if(.., |_, t| t.standing == Standing::Gone && idle(t));
         let notes = left.map(|(id, target)| (target.destination, ToDestination::Left(id)));
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -25,6 +25,10 @@
     world.actions.contains(&Action::WriteOff { id })
 }
 
+fn logged(world: &World, words: &str) -> bool {
+    world.actions.iter().any(|a| matches!(a, Action::Log(l) if l.contains(words)))
+}
+
 /// Keeps the target busy and answering well for a while.
 fn good_times(world: &mut World, seconds: u64) -> Checked {
     for _ in 0..seconds * 5 {
@@ -41,7 +45,7 @@
 /// Lets every call fail until the target is set aside.
 fn outage(world: &mut World) -> Checked {
     for _ in 0..40 {
-        if world.actions.iter().any(|a| matches!(a, Action::Log(l) if l.contains("set aside"))) {
+        if logged(world, "set aside") {
             return Ok(());
         }
         world.arrive(0, 0, None, 8_000 * MS)?;
@@ -197,7 +201,7 @@
     world.pass(2_000 * MS)?;
     let id = world.out()[0];
     world.end(id, Outcome::Delivered)?;
-    assert!(world.actions.iter().any(|a| matches!(a, Action::Log(l) if l.contains("taken back"))));
+    assert!(logged(&world, "taken back"));
     Ok(())
 }
 
@@ -287,7 +291,7 @@
     good_times(&mut world, 5)?;
     (0..3).try_for_each(|_| world.arrive(0, 0, None, 8_000 * MS).map(drop))?;
     world.pass(1_500 * MS)?;
-    assert!(world.actions.iter().any(|a| matches!(a, Action::Log(l) if l.contains("silent"))));
+    assert!(logged(&world, "silent"));
     Ok(())
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -76,8 +76,7 @@
     pub over: bool,
 }
 
-/// What the oracle saw of one destination or route: outcomes in a row that failed, the first answer after such a
-/// row, and when calls and probes went there.
+/// What the oracle saw of one target: failures in a row, the first answer after them, calls and probes.
 #[derive(Default)]
 struct Cold {
     row: u32,
