--- a/crates/forwarder/src/list.rs
+++ b/crates/forwarder/src/list.rs
@@ -4,7 +4,7 @@
 use crate::platform::{AskFault, Platform};
 use crate::protocol::{list_path, ListText, Member, Phase};
 use hyper::{Method, StatusCode};
-use opalpulley::{Event, ListNews, Listing, Standing, TargetId};
+use opalpulley::{Event, ListNews, Listing, Standing};
 use opalpulley_terms::Names;
 use slog::{info, warn, Logger};
 use std::collections::BTreeMap;
@@ -20,11 +20,13 @@
     Fetch,
 }
 
-/// The list as last held: members by id. Each leaves as it goes.
+/// The list as last held: members by id, each under the number by which the core knows it. Each leaves as it goes.
 #[derive(Default)]
 pub struct Held {
     revision: Option<u64>,
-    members: BTreeMap<String, Member>,
+    members: BTreeMap<String, (u32, Member)>,
+    /// The number of the next member that is new. It comes round after four thousand million of them.
+    next: u32,
 }
 
 impl Held {
@@ -34,32 +36,42 @@
             return None;
         }
         self.revision = Some(text.revision);
-        // An address belongs to the member that the news name last; one that moves leaves its old address.
-        let mut left: Vec<Listing> = Vec::new();
-        let mut news: BTreeMap<TargetId, Listing> = BTreeMap::new();
-        if text.complete {
-            self.members.clear();
-        }
+        let before = match text.complete {
+            true => std::mem::take(&mut self.members),
+            false => self.members.clone(),
+        };
         for member in text.members {
-            let moved = self.members.get(&member.id).filter(|old| old.target() != member.target());
-            left.extend(moved.map(|old| Listing { standing: Standing::Gone, ..old.listing(names) }));
-            news.insert(member.target(), member.listing(names));
-            match member.phase {
-                Phase::Gone => drop(self.members.remove(&member.id)),
-                _ => drop(self.members.insert(member.id.clone(), member)),
+            // Guards an address that another holds by now against what is told late of the one before.
+            let takes = member.phase == Phase::Ready || before.contains_key(&member.id);
+            let other = |(id, (_, m)): (&String, &(u32, Member))| {
+                (*id != member.id && m.host_port == member.host_port).then(|| id.clone())
+            };
+            let other = self.members.iter().find_map(other);
+            if member.phase == Phase::Gone {
+                self.members.remove(&member.id);
+            } else if other.is_none() || takes && member.phase == Phase::Ready {
+                other.and_then(|id| self.members.remove(&id));
+                // Guards a new member against what was learned of another that had its address, or of itself elsewhere.
+                let place = |m: &Member| (m.host_port, m.cell);
+                let same = before.get(&member.id).filter(|(_, old)| place(old) == place(&member));
+                let number = same.map_or_else(|| self.new_number(), |(number, _)| *number);
+                self.members.insert(member.id.clone(), (number, member));
             }
         }
-        // Guards an address that a new member has taken over from the end of the old one, told late.
-        for member in self.members.values() {
-            news.entry(member.target()).and_modify(|l| *l = member.listing(names));
-        }
-        left.retain(|l| !news.contains_key(&l.target));
-        let entries: Vec<Listing> = left.into_iter().chain(news.into_values()).collect();
-        match (text.complete, entries.is_empty()) {
-            (true, _) => Some(ListNews::Whole(entries)),
-            (false, true) => None,
-            (false, false) => Some(ListNews::Changes(entries)),
+        let listing = |(number, member): &(u32, Member)| member.listing(*number, names);
+        if text.complete {
+            return Some(ListNews::Whole(self.members.values().map(listing).collect()));
         }
+        let gone = before.iter().filter(|(id, (n, _))| self.members.get(*id).is_none_or(|(m, _)| m != n));
+        let gone = gone.map(|(_, old)| Listing { standing: Standing::Gone, ..listing(old) });
+        let told = self.members.iter().filter(|(id, now)| before.get(*id) != Some(now));
+        let entries: Vec<Listing> = gone.chain(told.map(|(_, now)| listing(now))).collect();
+        (!entries.is_empty()).then_some(ListNews::Changes(entries))
+    }
+
+    fn new_number(&mut self) -> u32 {
+        self.next = self.next.wrapping_add(1);
+        self.next
     }
 }
 
--- a/crates/forwarder/src/module.rs
+++ b/crates/forwarder/src/module.rs
@@ -69,6 +69,12 @@
     calls: usize,
 }
 
+impl Peer {
+    fn over(&self) -> bool {
+        self.calls == 0 && self.listing.standing == Standing::Gone
+    }
+}
+
 pub struct Module {
     clock: Clock,
     terms: TermsOfCarriage,
@@ -192,6 +198,9 @@
                 if let Event::TripEnded { id, trip, target, outcome, closed, .. } = &event {
                     if let Some(peer) = self.peers.get_mut(target) {
                         peer.calls = peer.calls.saturating_sub(1);
+                        if peer.over() {
+                            self.peers.remove(target);
+                        }
                     }
                     self.trip_ended(*id, *trip, *outcome, *closed);
                 }
@@ -232,7 +241,7 @@
                 });
             }
         }
-        self.peers.retain(|_, p| p.calls > 0 || p.listing.standing != Standing::Gone);
+        self.peers.retain(|_, p| !p.over());
         self.handle(Event::List(news));
         self.begin();
     }
--- a/crates/forwarder/src/module/tests.rs
+++ b/crates/forwarder/src/module/tests.rs
@@ -43,7 +43,7 @@
     let mut module = Module::new(terms, 1, Clock::start(), journal, ways, log);
     let port = listener.local_addr().expect("its address").port();
     let listing = Listing {
-        target: TargetId { address: [127, 0, 0, 1], port },
+        target: TargetId { address: [127, 0, 0, 1], port, holder: 0 },
         zone: ZoneId(0),
         since: 0,
         standing: Standing::Ready,
--- a/crates/forwarder/src/protocol.rs
+++ b/crates/forwarder/src/protocol.rs
@@ -207,17 +207,17 @@
 }
 
 impl Member {
-    pub fn target(&self) -> TargetId {
-        TargetId { address: self.host_port.ip().octets(), port: self.host_port.port() }
+    pub fn target(&self, holder: u32) -> TargetId {
+        TargetId { address: self.host_port.ip().octets(), port: self.host_port.port(), holder }
     }
 
     /// A zone or kind without a name in the settings counts as the last one.
-    pub fn listing(&self, names: &Names) -> Listing {
+    pub fn listing(&self, holder: u32, names: &Names) -> Listing {
         let place = |all: &[String], name: &str| {
             all.iter().position(|n| n == name).unwrap_or(all.len().saturating_sub(1)) as u16
         };
         Listing {
-            target: self.target(),
+            target: self.target(holder),
             zone: ZoneId(place(&names.zones, &self.locality)),
             since: self.up_since_ms.saturating_mul(1000),
             standing: match self.phase {
--- a/crates/forwarder/src/targets/tests.rs
+++ b/crates/forwarder/src/targets/tests.rs
@@ -34,7 +34,7 @@
             module,
             log: Logger::root(slog::Discard, slog::o!()),
         };
-        let id = TargetId { address: [127, 0, 0, 1], port };
+        let id = TargetId { address: [127, 0, 0, 1], port, holder: 0 };
         tokio::spawn(Target::new(id, Arc::new(links)).run(inbox));
         Rig { listener, mailbox, notes, trips: 0 }
     }
@@ -107,7 +107,7 @@
         }
         assert!(bytes.ends_with(&body));
         let port = rig.listener.local_addr().expect("its address").port();
-        let target = TargetId { address: [127, 0, 0, 1], port };
+        let target = TargetId { address: [127, 0, 0, 1], port, holder: 0 };
         let limit = Duration::from_millis(1500);
         let call = protocol::encode_call(target, "9b1f03aa5c7e2d41", Some("5c0f6e1a"), limit, &body)
             .expect("a call");
--- a/crates/forwarder/tests/program.rs
+++ b/crates/forwarder/tests/program.rs
@@ -434,6 +434,29 @@
     assert_eq!(seen_old.lock().expect("the log").len(), 1);
 }
 
+/// Guards destinations, health and connections where an address changes hands: the new holder is another target.
+#[test]
+fn a_new_holder_of_an_address_inherits_nothing() {
+    // The first holder answers nothing but refusals with a long wait.
+    let (target, seen) = serve(|m, _| {
+        plain(if m.headers["request-id"].starts_with("old") { "429 Wait\r\nWait-Ms: 9000" } else { "200 OK" })
+    });
+    let platform = platform(vec![member(target, 7, "Ready")], 0);
+    let (_dir, state) = folder();
+    let forwarder = start(&state, &config("notice", "free", 200, 3.0), platform.address);
+    assert_eq!(forwarder.hand_in("old", "notice"), 202);
+    until("the old one refuses", || calls(&seen, "old") == 1);
+    let new = member(target, 8, "Ready").replace("s-", "t-");
+    platform.changes.lock().expect("the changes").push(list(2, false, &[new]));
+    until("the change is told", || platform.changes.lock().expect("the changes").is_empty());
+    thread::sleep(Duration::from_millis(100));
+    assert_eq!(forwarder.ask(&hand_in_head("lost", "notice", 4), b"body"), 202); // 7 has no target any more
+    let head = hand_in_head("new", "notice", 4).replace("dest=7", "dest=8");
+    assert_eq!(forwarder.ask(&head, b"body"), 202);
+    until("the new one serves", || calls(&seen, "new") == 1);
+    assert_eq!((calls(&seen, "old"), calls(&seen, "lost")), (1, 0));
+}
+
 #[test]
 fn bad_start_papers_end_it_with_one_line_that_names_the_key() {
     let (_dir, state) = folder();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -5,11 +5,13 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct PacketId(pub u32);
 
-/// Four bytes of address and a port, as the front end names the target.
+/// Four bytes of address and a port, as the front end names the target, and which of those that had this address in
+/// turn it is, where the front end can tell.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TargetId {
     pub address: [u8; 4],
     pub port: u16,
+    pub holder: u32,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
