--- a/crates/forwarder/src/list.rs
+++ b/crates/forwarder/src/list.rs
@@ -8,8 +8,9 @@
 use opalpulley_terms::Names;
 use slog::{info, warn, Logger};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 const WATCH: Duration = Duration::from_secs(5); // a watch that is asked for: a silent agent is noticed soon after
 const PATIENCE: Duration = Duration::from_secs(2); // for an answer, beyond what was asked for: the agent is next door
@@ -77,6 +78,8 @@
 
 pub struct List {
     pub platform: Platform,
+    /// Where the platform is asked, from each change on.
+    pub discovery: watch::Receiver<SocketAddr>,
     pub names: Names,
     pub held: Held,
     /// Changes come only after they are asked for.
@@ -92,9 +95,12 @@
         let mut down = false;
         loop {
             if !watching && !fetch {
-                match mailbox.recv().await {
-                    Some(note) => Self::read(note, &mut watching, &mut fetch),
-                    None => return,
+                tokio::select! {
+                    note = mailbox.recv() => match note {
+                        Some(note) => Self::read(note, &mut watching, &mut fetch),
+                        None => return,
+                    },
+                    Ok(()) = self.discovery.changed() => fetch = self.moved(),
                 }
                 continue;
             }
@@ -110,6 +116,10 @@
                     }
                     None => return,
                 },
+                Ok(()) = self.discovery.changed() => {
+                    fetch = self.moved();
+                    continue;
+                }
             };
             match answer.and_then(|(status, body)| read_list(status, &body)) {
                 Ok(text) => {
@@ -139,6 +149,15 @@
         }
     }
 
+    /// What was asked of the old address is dropped; the new one counts its revisions as it likes. Gives that the
+    /// whole list is to be fetched there. Until it is in, the list as held stays.
+    fn moved(&mut self) -> bool {
+        let address = *self.discovery.borrow_and_update();
+        self.platform.move_to(address);
+        self.held.revision = None;
+        true
+    }
+
     fn read(note: ListNote, watching: &mut bool, fetch: &mut bool) {
         match note {
             ListNote::Watch(on) => *watching = on,
--- a/crates/forwarder/src/main.rs
+++ b/crates/forwarder/src/main.rs
@@ -11,6 +11,7 @@
 mod papers;
 mod platform;
 mod protocol;
+mod reload;
 mod shutdown;
 mod targets;
 
@@ -31,6 +32,7 @@
 use std::time::Duration;
 use targets::Links;
 use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch, Semaphore};
 
 const NOTES: usize = 1024; // waiting for the module's actor: those who send them wait when it is full
@@ -61,6 +63,9 @@
 
 async fn run(mut papers: Papers, log: Logger) -> io::Result<()> {
     let clock = Clock::start();
+    // Guards the process from the first moment on: a signal without a handler would end it.
+    let term = signal(SignalKind::terminate())?;
+    let hang_up = signal(SignalKind::hangup())?;
     let names = papers.waybill.names.clone();
     let terms = papers.waybill.terms.clone();
     let (module_box, notes) = mpsc::channel(NOTES);
@@ -82,7 +87,8 @@
     tokio::spawn(clients.run(listener));
 
     let (journal, packets) = Journal::open(&papers.state, papers.disk)?;
-    info!(log, "started"; "name" => &papers.name, "packets" => packets.len(), "listen" => %papers.listen);
+    info!(log, "started"; "name" => &papers.name, "packets" => packets.len(), "listen" => %papers.listen,
+        "discovery" => %papers.discovery);
     let ways = Ways {
         links,
         list: list_box,
@@ -99,8 +105,11 @@
     module.take_over(packets);
 
     let platform = || Platform::new(papers.discovery);
+    let (moves, discovery) = watch::channel(papers.discovery);
+    tokio::spawn(reload::run(hang_up, papers.fixed(), moves, log.clone()));
     let list = List {
         platform: platform(),
+        discovery: discovery.clone(),
         names,
         held,
         must_be_asked: terms.list_must_be_asked,
@@ -108,7 +117,7 @@
         log: log.clone(),
     };
     tokio::spawn(list.run(list_notes));
-    let notices = Notices { platform: platform(), module: module_box.clone(), log: log.clone() };
+    let notices = Notices { platform: platform(), discovery, module: module_box.clone(), log: log.clone() };
     tokio::spawn(notices.run(owed));
     let neighbours = neighbours::run(papers.neighbours, neighbour_notes, module_box.clone(), log.clone());
     let neighbour_log = log.clone();
@@ -117,13 +126,7 @@
             error!(neighbour_log, "neighbours can't be heard"; "problem" => %problem);
         }
     });
-    let shutdown = shutdown::run(&closing, module_box, log.clone());
-    let leave = async {
-        if let Err(problem) = shutdown.await {
-            error!(log, "signals can't be heard"; "problem" => %problem);
-            std::future::pending::<()>().await;
-        }
-    };
+    let leave = shutdown::run(term, &closing, module_box, log.clone());
     module.run(notes, hand_ins, leave).await;
     tokio::time::sleep(LAST_ANSWERS).await;
     info!(log, "ended");
--- a/crates/forwarder/src/notices.rs
+++ b/crates/forwarder/src/notices.rs
@@ -6,8 +6,9 @@
 use hyper::{Method, StatusCode};
 use slog::{error, info, warn, Logger};
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 const MOST_LINES: usize = 200; // packets in one notice: some 20 KB, under a third of a message's limit
 const PATIENCE: Duration = Duration::from_millis(1000); // for an answer: the agent is next door and answers at once
@@ -23,6 +24,8 @@
 
 pub struct Notices {
     pub platform: Platform,
+    /// Where the platform is told, from each change on.
+    pub discovery: watch::Receiver<SocketAddr>,
     pub module: mpsc::Sender<Note>,
     pub log: Logger,
 }
@@ -45,7 +48,16 @@
             }
             let lines = waiting.len().min(most);
             let text = encode_notices(waiting.iter().take(lines).map(|o| (o.request_id.as_str(), o.ending)));
-            match self.platform.ask(Method::POST, OUTCOMES, text, PATIENCE).await {
+            let answer = tokio::select! {
+                answer = self.platform.ask(Method::POST, OUTCOMES, text, PATIENCE) => answer,
+                // What the old address has not answered for is told to the new one.
+                Ok(()) = self.discovery.changed() => {
+                    let address = *self.discovery.borrow_and_update();
+                    self.platform.move_to(address);
+                    continue;
+                }
+            };
+            match answer {
                 Ok((StatusCode::NO_CONTENT, _)) => {
                     most = MOST_LINES;
                     if std::mem::take(&mut down) {
--- a/crates/forwarder/src/papers.rs
+++ b/crates/forwarder/src/papers.rs
@@ -21,6 +21,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// What the file says of it, whatever the variable: the file alone can change while the process runs.
+    pub discovery_in_file: Option<SocketAddr>,
     pub state: PathBuf,
     pub seed: u64,
     pub disk: u64,
@@ -80,7 +82,25 @@
     memory_mb: Option<f64>,
 }
 
+/// What can't change while the process runs.
+#[derive(Clone, PartialEq)]
+pub struct Fixed {
+    listen: SocketAddr,
+    disk: u64,
+    sockets: [usize; 2],
+    waybill: Waybill,
+}
+
 impl Papers {
+    pub fn fixed(&self) -> Fixed {
+        Fixed {
+            listen: self.listen,
+            disk: self.disk,
+            sockets: [self.client_sockets, self.idle_sockets],
+            waybill: self.waybill.clone(),
+        }
+    }
+
     pub fn from_env() -> Result<Papers, BadPapers> {
         let var = |key: &str| std::env::var(key).ok().filter(|v| !v.is_empty());
         let path = var("GW_CONFIG").ok_or_else(|| bad("GW_CONFIG", "is not set"))?;
@@ -97,6 +117,11 @@
             let value = var(key).or(other).ok_or_else(|| bad(key, format!("is not set, nor is {name}")))?;
             value.parse::<SocketAddr>().map_err(|e| bad(key, format!("{value}: {e}")))
         };
+        let discovery_in_file = file
+            .discovery
+            .as_deref()
+            .map(|value| value.parse().map_err(|e| bad("GW_CONFIG discovery", format!("{value}: {e}"))))
+            .transpose()?;
         let sockets = file.limits.sockets.unwrap_or(DEFAULT_SOCKETS);
         if sockets < FEWEST_SOCKETS {
             return Err(bad(
@@ -134,6 +159,7 @@
             name: var("GW_NAME").or(file.name).unwrap_or_else(|| "forwarder".into()),
             listen: address("GW_LISTEN", "listen", file.listen)?,
             discovery: address("GW_DISCOVERY", "discovery", file.discovery)?,
+            discovery_in_file,
             state: state.into(),
             seed: seed?,
             disk: (disk_mb * 1e6) as u64,
--- a/crates/forwarder/src/platform.rs
+++ b/crates/forwarder/src/platform.rs
@@ -50,6 +50,11 @@
         Platform { address, link: None }
     }
 
+    /// From now on the platform is asked there.
+    pub fn move_to(&mut self, address: SocketAddr) {
+        (self.address, self.link) = (address, None);
+    }
+
     /// Asks once. Whoever drops this before its end leaves no half answer behind.
     pub async fn ask(
         &mut self,
--- a/crates/forwarder/src/shutdown.rs
+++ b/crates/forwarder/src/shutdown.rs
@@ -4,9 +4,8 @@
 use crate::module::Note;
 use opalpulley::Event;
 use slog::{info, Logger};
-use std::io;
 use std::time::Duration;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::Signal;
 use tokio::sync::{mpsc, watch};
 
 const SHUT: Duration = Duration::from_millis(700); // after SIGTERM: new connections go on coming for 0.4 s
@@ -15,12 +14,14 @@
 
 /// Waits for SIGTERM and takes the process through the stages of its end; `leave` falls at the last one.
 pub async fn run(
+    mut term: Signal,
     closing: &watch::Sender<Closing>,
     module: mpsc::Sender<Note>,
     log: Logger,
-) -> io::Result<()> {
-    let mut term = signal(SignalKind::terminate())?;
-    term.recv().await;
+) {
+    if term.recv().await.is_none() {
+        std::future::pending::<()>().await;
+    }
     let begun = tokio::time::Instant::now();
     info!(log, "asked to end");
     closing.send_replace(Closing::Leaving);
@@ -30,5 +31,4 @@
     if module.send(Note::Event(Event::Closing)).await.is_ok() {
         tokio::time::sleep_until(begun + LEAVE).await;
     }
-    Ok(())
 }
--- a/crates/forwarder/tests/program.rs
+++ b/crates/forwarder/tests/program.rs
@@ -457,6 +457,41 @@
     assert_eq!((calls(&seen, "old"), calls(&seen, "lost")), (1, 0));
 }
 
+/// Guards service over SIGHUP: the list and the notices come and go at the new address, and a bad file changes nothing.
+#[test]
+fn a_reload_moves_to_the_new_platform_and_a_bad_file_is_passed_over() {
+    let (target, seen) = serve(|_, _| plain("200 OK"));
+    let (other, seen_other) = serve(|_, _| plain("200 OK"));
+    let old = platform(vec![member(target, 7, "Ready")], usize::MAX); // deaf to notices
+    let new = platform(vec![member(other, 7, "Ready")], 0);
+    let (dir, state) = folder();
+    let text = config("notice", "free", 200, 3.0);
+    // Revisions start lower at the new one.
+    old.changes.lock().expect("the changes").push(list(90, false, &[member(target, 7, "Ready")]));
+    let mut forwarder = start(&state, &text, old.address);
+    until("the change is told", || old.changes.lock().expect("the changes").is_empty());
+    let short = hand_in_head("short", "notice", 4).replace("20000", "300").replace("dest=7", "dest=9");
+    assert_ne!(forwarder.ask(&short, b"body"), 0);
+    until("its end is told in vain", || !old.notices.lock().expect("the notices").is_empty());
+    let papers = dir.path().join("config.json");
+    std::fs::write(&papers, "{\"name\":").expect("written");
+    forwarder.signal("-HUP");
+    thread::sleep(Duration::from_millis(200));
+    assert_eq!(forwarder.hand_in("one", "notice"), 202);
+    until("it goes on as before", || calls(&seen, "one") == 1);
+    let moved = text.replacen('{', &format!("{{\"discovery\":\"{}\",", new.address), 1);
+    std::fs::write(&papers, moved).expect("written");
+    forwarder.signal("-HUP");
+    until("the notice is repeated at the new one", || !new.notices.lock().expect("the notices").is_empty());
+    until("the new list counts", || {
+        forwarder.hand_in("two", "notice") == 202 && calls(&seen_other, "two") > 0
+    });
+    assert_eq!(calls(&seen, "two"), 0);
+    new.changes.lock().expect("the changes").push(list(2, false, &[member(target, 7, "Terminating")]));
+    until("the new one is watched", || new.changes.lock().expect("the changes").is_empty());
+    assert!(forwarder.child.try_wait().expect("its state").is_none());
+}
+
 #[test]
 fn bad_start_papers_end_it_with_one_line_that_names_the_key() {
     let (_dir, state) = folder();
