--- a/crates/forwarder/src/main.rs
+++ b/crates/forwarder/src/main.rs
@@ -13,6 +13,7 @@
 mod protocol;
 mod reload;
 mod shutdown;
+mod stream;
 mod targets;
 
 use clients::{Clients, Closing, Door};
--- a/crates/forwarder/src/protocol.rs
+++ b/crates/forwarder/src/protocol.rs
@@ -15,6 +15,7 @@
 
 pub const MOST_BODY: usize = 64 * 1024; // bytes, the protocol's limit
 pub const MOST_AHEAD: usize = 32 * 1024; // bytes read ahead on a connection, the longest head: hundreds fit the memory
+const LONGEST_WAIT_MS: f64 = 86_400_000.0; // a day: a target that tells a longer wait tells none
 const LONGEST_NAME: usize = 256; // bytes of a request id or idempotency key: far over any in use
 
 pub const UP: &str = "/up";
@@ -105,6 +106,7 @@
     })
 }
 
+#[derive(Clone)]
 /// A request to a target, and how many bytes it takes on the connection.
 pub struct Outgoing {
     pub request: Request<Full<Bytes>>,
@@ -153,7 +155,7 @@
     match status.as_u16() {
         200 => (Outcome::Delivered, true),
         429 => {
-            let wait = number("wait-ms").filter(|ms: &f64| *ms > 0.0 && ms.is_finite());
+            let wait = number("wait-ms").filter(|ms: &f64| *ms > 0.0 && *ms <= LONGEST_WAIT_MS);
             (Outcome::Full { wait: wait.map(|ms| (ms * 1000.0).ceil() as Micros) }, false)
         }
         503 if number("slots-taken") == Some(1.0) => (Outcome::Moot { no_slot: true }, false),
@@ -164,11 +166,14 @@
     }
 }
 
-/// What a target tells of its limit, in the order of the settings.
+/// What a target tells of its limit, in the order of the settings. A report that can't be read, is told twice or
+/// lacks a figure is none.
 pub fn decode_report(headers: &HeaderMap, names: &Names) -> Vec<f32> {
-    let text = headers.get("server-load").filter(|_| !names.reports.is_empty());
-    let values: Option<BTreeMap<String, f32>> = text.and_then(|v| serde_json::from_slice(v.as_bytes()).ok());
-    values.map_or(Vec::new(), |v| names.reports.iter().map(|n| v.get(n).copied().unwrap_or(0.0)).collect())
+    let mut texts = headers.get_all("server-load").iter();
+    let (Some(text), None) = (texts.next(), texts.next()) else { return Vec::new() };
+    let values: BTreeMap<String, f32> = serde_json::from_slice(text.as_bytes()).unwrap_or_default();
+    let figures = names.reports.iter().map(|n| values.get(n).copied().filter(|v| v.is_finite()));
+    figures.collect::<Option<_>>().unwrap_or_default()
 }
 
 pub fn address(target: TargetId) -> SocketAddr {
--- a/crates/forwarder/src/protocol/tests.rs
+++ b/crates/forwarder/src/protocol/tests.rs
@@ -112,4 +112,23 @@
     assert!(decode_report(&headers, &names()).is_empty());
     headers.insert("server-load", hyper::header::HeaderValue::from_static("{\"x1\":25,\"x0\":0.4}"));
     assert_eq!(decode_report(&headers, &names()), [0.4, 25.0]);
+    // One that can't be read, lacks a figure or comes twice is no report: nought would mean an idle target.
+    for text in ["{\"x0\":0.4}", "{\"x0\":0.4,\"x1\":", "{\"x0\":0.4,\"x1\":\"25\"}", "0.4"] {
+        headers.insert("server-load", hyper::header::HeaderValue::from_static(text));
+        assert!(decode_report(&headers, &names()).is_empty(), "{text}");
+    }
+    headers.append("server-load", hyper::header::HeaderValue::from_static("{\"x1\":25,\"x0\":0.4}"));
+    assert!(decode_report(&headers, &names()).is_empty());
+}
+
+/// Guards against waits without end: one beyond a day is taken for none.
+#[test]
+fn a_wait_is_read_within_reason() {
+    for (text, wait) in
+        [("250", Some(250_000)), ("0.5", Some(500)), ("-1", None), ("1e300", None), ("NaN", None)]
+    {
+        let mut headers = HeaderMap::new();
+        headers.insert("wait-ms", hyper::header::HeaderValue::from_static(text));
+        assert_eq!(decode_answer(StatusCode::TOO_MANY_REQUESTS, &headers).0, Outcome::Full { wait });
+    }
 }
--- a/crates/forwarder/src/targets.rs
+++ b/crates/forwarder/src/targets.rs
@@ -5,6 +5,7 @@
 use crate::link::Link;
 use crate::module::Note;
 use crate::protocol::{self, Outgoing, MOST_AHEAD};
+use crate::stream::{Answer, Sight, Stream};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -15,21 +16,20 @@
 use slog::{debug, error, Logger};
 use std::collections::BTreeMap;
 use std::fmt;
-use std::io;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, oneshot, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{mpsc, oneshot, Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::task::{Id, JoinSet};
 use tokio::time::Instant;
 use tower::{Service, ServiceExt};
 
 const RETIRE_AHEAD: u32 = 10; // a connection is retired this part of its idle time early: calls take time to arrive
 const DRAIN: Duration = Duration::from_millis(500); // for the rest of an answer whose first line is in: bodies are small
+const HEAD_TIME: Duration = Duration::from_millis(300); // from an answer's first byte to the end of its head: one write
+const SETTLE: Duration = Duration::from_millis(3); // before a connection serves again: noise comes right behind an answer
 const PROBE_TIME: f64 = 1.5; // times what a connection may take: a probe opens one and waits for its answer
 
 pub enum TargetNote {
@@ -51,7 +51,7 @@
 /// How far an attempt had come when it failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
-    /// No connection was up.
+    /// No connection was up, or it took no byte.
     Connecting,
     /// Some of the call's bytes were not written: it can't have run.
     Writing,
@@ -102,63 +102,10 @@
     pub log: Logger,
 }
 
-/// A stream that counts what has been written to it.
-struct Counted {
-    stream: TcpStream,
-    written: Arc<AtomicU64>,
-}
-
-impl AsyncRead for Counted {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
-    }
-}
-
-impl Counted {
-    fn count(&self, poll: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(n)) = &poll {
-            self.written.fetch_add(*n as u64, Ordering::Relaxed);
-        }
-        poll
-    }
-}
-
-impl AsyncWrite for Counted {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.count(poll)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let poll = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.count(poll)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
-
-/// A connection to a target, with what has been written there.
+/// A connection to a target, with what is seen of its stream.
 struct Line {
     link: Link,
-    written: Arc<AtomicU64>,
+    sight: Arc<Sight>,
 }
 
 impl Line {
@@ -167,10 +114,9 @@
         let up = async {
             let stream = TcpStream::connect(protocol::address(target)).await.ok()?;
             stream.set_nodelay(true).ok()?;
-            let written = Arc::new(AtomicU64::new(0));
-            let stream = Counted { stream, written: written.clone() };
+            let (stream, sight) = Stream::new(stream);
             let link = Link::over(stream, Builder::new().max_buf_size(MOST_AHEAD)).await.ok()?;
-            Some(Line { link, written })
+            Some(Line { link, sight })
         };
         match tokio::time::timeout(within, up).await {
             Ok(line) => line.ok_or(fault(Why::Broken)),
@@ -179,6 +125,26 @@
     }
 }
 
+impl Line {
+    /// Shows its stream to whoever watches over the call, which goes on it now.
+    fn show(&self, seen: &Mutex<Option<Arc<Sight>>>, now_seen: &Notify) {
+        if let Ok(mut seen) = seen.lock() {
+            *seen = Some(self.sight.clone());
+        }
+        now_seen.notify_one();
+    }
+
+    async fn send(&mut self, call: Outgoing) -> Result<Response<Incoming>, CallFault> {
+        self.ready().await?.call(call).await
+    }
+
+    /// After an answer: gives itself back if it can serve again.
+    async fn served(mut self, whole: bool) -> Option<Line> {
+        self.sight.rest();
+        (whole && self.link.usable().await).then_some(self)
+    }
+}
+
 impl Service<Outgoing> for Line {
     type Response = Response<Incoming>;
     type Error = CallFault;
@@ -189,12 +155,16 @@
     }
 
     fn call(&mut self, call: Outgoing) -> Self::Future {
-        let end = self.written.load(Ordering::Relaxed) + call.length;
-        let written = self.written.clone();
+        let sight = self.sight.clone();
+        let begin = sight.written();
         let answer = self.link.sender.send_request(call.request);
         Box::pin(async move {
             answer.await.map_err(|_| CallFault {
-                stage: if written.load(Ordering::Relaxed) < end { Stage::Writing } else { Stage::Written },
+                stage: match sight.written() - begin {
+                    0 => Stage::Connecting,
+                    some if some < call.length => Stage::Writing,
+                    _ => Stage::Written,
+                },
                 why: Why::Broken,
             })
         })
@@ -303,39 +273,43 @@
                 Ok(call) => carry(target, idle, call, &links, began + limit, quitting).await,
                 Err(problem) => {
                     error!(links.log, "a call could not be written"; "problem" => %problem);
-                    (Err(CallFault { stage: Stage::Writing, why: Why::Broken }), None)
+                    Err(CallFault { stage: Stage::Writing, why: Why::Broken })
                 }
             };
-            let (answer, line) = ended;
-            let (outcome, over, report, body) = match answer {
-                Ok(answer) => {
-                    let (outcome, over) = protocol::decode_answer(answer.status(), answer.headers());
-                    let report = protocol::decode_report(answer.headers(), &links.names);
-                    (outcome, over, report, Some(answer.into_body()))
+            let (answer, line) = match ended {
+                Ok(Came::Head(answer, line)) => (answer, line),
+                Ok(Came::Yes) => {
+                    links.tell(target, errand, Outcome::Delivered, true, Vec::new(), began).await;
+                    return None;
                 }
                 Err(fault) => {
                     debug!(links.log, "a call failed"; "target" => %protocol::address(target), "fault" => %fault);
-                    (fault.into(), false, Vec::new(), None)
+                    links.tell(target, errand, fault.into(), false, Vec::new(), began).await;
+                    return None;
                 }
             };
+            let (outcome, over) = protocol::decode_answer(answer.status(), answer.headers());
+            let report = protocol::decode_report(answer.headers(), &links.names);
+            let rest = Limited::new(answer.into_body(), protocol::MOST_BODY).collect();
+            let rest = async { matches!(tokio::time::timeout(DRAIN, rest).await, Ok(Ok(_))) };
+            // What ran, or may have, is told by the head. That it did not run is believed of a whole answer only.
+            if outcome.may_have_run() {
+                links.tell(target, errand, outcome, over, report, began).await;
+                return line.served(rest.await).await;
+            }
+            let whole = rest.await;
+            let (outcome, over) = if whole { (outcome, over) } else { (Outcome::Reset, false) };
             links.tell(target, errand, outcome, over, report, began).await;
-            // The rest of the answer, so that the connection can serve again.
-            let (mut line, body) = (line?, body?);
-            let rest = async {
-                let rest = Limited::new(body, protocol::MOST_BODY).collect().await.is_ok();
-                rest && line.link.usable().await
-            };
-            let usable = tokio::time::timeout(DRAIN, rest).await;
-            (usable == Ok(true)).then_some(line)
+            line.served(whole).await
         });
         self.underway.insert(task.id(), Underway { errand, began, quit: Some(quit) });
     }
 
-    fn take_idle(&mut self) -> Option<Line> {
+    fn take_idle(&mut self) -> Option<(Line, Instant)> {
         let rest = self.rest();
         while let Some(idle) = self.idle.pop() {
             if idle.since.elapsed() < rest && !idle.line.link.sender.is_closed() {
-                return Some(idle.line);
+                return Some((idle.line, idle.since));
             }
         }
         None
@@ -379,54 +353,71 @@
     }
 }
 
-type Ended = (Result<Response<Incoming>, CallFault>, Option<Line>);
+/// What a call brought.
+enum Came {
+    Head(Response<Incoming>, Line),
+    /// A first line that says 200; the rest of the head never came, or was spoilt.
+    Yes,
+}
 
-/// One call from its connection to the first line of its answer.
+/// One call from its connection to the head of its answer.
 async fn carry(
     target: TargetId,
-    idle: Option<Line>,
+    idle: Option<(Line, Instant)>,
     call: Outgoing,
     links: &Links,
     until: Instant,
     quitting: oneshot::Receiver<()>,
-) -> Ended {
-    let connected = AtomicBool::new(false);
+) -> Result<Came, CallFault> {
+    let seen: Mutex<Option<Arc<Sight>>> = Mutex::new(None);
+    let (seen, now_seen) = (&seen, &Notify::new());
     let work = async {
-        // An idle connection that has ended took no byte of this call: a new one begins it.
-        let mut kept = None;
-        if let Some(mut line) = idle {
-            kept = line.link.usable().await.then_some(line);
+        // An idle connection that took no byte of this call carries none of it: a new one begins it.
+        if let Some((mut line, since)) = idle {
+            tokio::time::sleep_until(since + SETTLE).await;
+            if line.link.usable().await {
+                line.show(seen, now_seen);
+                match line.send(call.clone()).await {
+                    Ok(answer) => return Ok(Came::Head(answer, line)),
+                    Err(CallFault { stage: Stage::Connecting, .. }) => {}
+                    Err(fault) => return Err(fault),
+                }
+            }
         }
-        let mut line = match kept {
-            Some(line) => line,
-            None => {
-                let within = Duration::from_micros(links.terms.connect_within);
-                match Line::open(target, within).await {
-                    Ok(line) => line,
-                    Err(fault) => return (Err(fault), None),
+        let mut line = Line::open(target, Duration::from_micros(links.terms.connect_within)).await?;
+        line.show(seen, now_seen);
+        let answer = line.send(call).await?;
+        Ok(Came::Head(answer, line))
+    };
+    let sight = || seen.lock().ok().and_then(|s| s.clone());
+    let spoilt = async {
+        loop {
+            now_seen.notified().await;
+            if let Some(sight) = sight() {
+                tokio::select! {
+                    () = sight.stuck(HEAD_TIME) => return,
+                    () = now_seen.notified() => now_seen.notify_one(), // a new connection carries it
                 }
             }
-        };
-        connected.store(true, Ordering::Relaxed);
-        let answer = match line.ready().await {
-            Ok(ready) => ready.call(call).await,
-            Err(fault) => Err(fault),
-        };
-        match answer {
-            Ok(answer) => (Ok(answer), Some(line)),
-            Err(fault) => (Err(fault), None),
         }
     };
     // Dropping the work closes its connection: that is how a call is given up.
     let gone = |why| {
-        let stage = if connected.load(Ordering::Relaxed) { Stage::Written } else { Stage::Connecting };
-        (Err(CallFault { stage, why }), None)
+        let begun = sight().is_some_and(|s| s.answer() != Answer::Unasked);
+        let stage = if begun { Stage::Written } else { Stage::Connecting };
+        Err(CallFault { stage, why })
     };
-    tokio::select! {
+    let ended = tokio::select! {
         biased;
         ended = work => ended,
         () = tokio::time::sleep_until(until) => gone(Why::OutOfTime),
         Ok(()) = quitting => gone(Why::CalledOff),
+        () = spoilt => gone(Why::Broken),
+    };
+    // A first line that says 200 is true, whatever came of the rest.
+    match ended {
+        Err(_) if sight().is_some_and(|s| s.answer() == Answer::Says(200)) => Ok(Came::Yes),
+        ended => ended,
     }
 }
 
--- a/crates/forwarder/src/targets/tests.rs
+++ b/crates/forwarder/src/targets/tests.rs
@@ -233,6 +233,77 @@
     assert!(closed(&mut stream).await); // such a connection serves no more
 }
 
+/// Guards rules 1 and 2 against spoilt answers: only a first line that says 200 is true; that a packet did not run is
+/// believed of a whole answer alone. 1xx heads ahead, 101 too, change nothing.
+#[tokio::test]
+async fn a_spoilt_answer_may_have_run_unless_its_first_line_says_200() {
+    let full = Outcome::Full { wait: None };
+    let early = "HTTP/1.1 103 Early\r\nLink: x\r\n\r\nHTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n";
+    let cases = [
+        ("HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n".to_owned(), Outcome::Delivered, false),
+        ("HTTP/1.1 200 OK\r\nX: without an end".to_owned(), Outcome::Delivered, false),
+        (format!("HTTP/1.1 200 OK\r\nX: {}", "x".repeat(100_000)), Outcome::Delivered, false),
+        ("HTTP/1.1 503 Full\r\nContent-Length: 5\r\n\r\nab".to_owned(), Outcome::Reset, false),
+        ("HTTP/1.1 503 Full\r\nX: without an end".to_owned(), Outcome::Reset, false),
+        (
+            format!("HTTP/1.1 429 W\r\nContent-Length: 3000000000\r\n\r\n{}", "x".repeat(100_000)),
+            Outcome::Reset,
+            false,
+        ),
+        ("HTTP/1.1 410 Over\r\nContent-Length: -1\r\n\r\n".to_owned(), Outcome::Reset, false),
+        ("HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n".to_owned(), Outcome::Reset, false),
+        ("\0\u{1}noise\r\n\r\n".to_owned(), Outcome::Reset, false),
+        ("HTT".to_owned(), Outcome::Reset, false),
+        (format!("{early}HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"), Outcome::Delivered, true),
+        (format!("{early}HTTP/1.1 503 Full\r\nContent-Length: 2\r\n\r\nno"), full, true),
+    ];
+    for (text, outcome, serves_on) in cases {
+        let mut rig = Rig::new().await;
+        rig.call(&Bytes::new(), 20_000).await;
+        let mut stream = rig.accept().await;
+        read_call(&mut stream).await;
+        let begun = Instant::now();
+        // Where the other side has seen enough it closes.
+        let _ = stream.write_all(text.as_bytes()).await;
+        let shown: String = text.chars().take(60).collect();
+        assert_eq!(rig.outcome().await, (outcome, outcome == Outcome::Delivered), "{shown}");
+        assert!(begun.elapsed() < Duration::from_secs(1), "{shown}");
+        if serves_on {
+            rig.call(&Bytes::new(), 1000).await;
+            assert!(!read_call(&mut stream).await.is_empty(), "{shown}");
+        } else {
+            assert!(closed(&mut stream).await, "{shown}");
+        }
+    }
+}
+
+/// Guards rule 1: what comes behind an answer never answers the next call, however close that follows.
+#[tokio::test]
+async fn bytes_behind_an_answer_are_no_answer() {
+    for gap in [0, 1] {
+        let mut rig = Rig::new().await;
+        rig.call(&Bytes::new(), 1000).await;
+        let mut first = rig.accept().await;
+        read_call(&mut first).await;
+        first.write_all(OK).await.expect("sent");
+        if gap > 0 {
+            assert_eq!(rig.outcome().await, (Outcome::Delivered, true));
+            rig.call(&Bytes::new(), 1000).await;
+            tokio::time::sleep(Duration::from_millis(gap)).await;
+            first.write_all(OK).await.expect("sent");
+        } else {
+            first.write_all(OK).await.expect("sent");
+            assert_eq!(rig.outcome().await, (Outcome::Delivered, true));
+            rig.call(&Bytes::new(), 1000).await;
+        }
+        let mut second = rig.accept().await; // not on the first one
+        read_call(&mut second).await;
+        second.write_all(b"HTTP/1.1 503 Full\r\ncontent-length: 0\r\n\r\n").await.expect("sent");
+        assert_eq!(rig.outcome().await, (Outcome::Full { wait: None }, false));
+        assert!(closed(&mut first).await);
+    }
+}
+
 #[tokio::test]
 async fn a_probe_asks_for_life() {
     let mut rig = Rig::new().await;
