--- a/crates/forwarder/src/clients.rs
+++ b/crates/forwarder/src/clients.rs
@@ -1,7 +1,7 @@
 //! The clients' side: connections, and a tower service for the requests on them.
 
 use crate::module::{Answer, HandIn};
-use crate::protocol::{decode_head, retry_after, BadRequest, MOST_AHEAD, MOST_BODY, UP};
+use crate::protocol::{decode_head, retry_after, BadRequest, Form, MOST_AHEAD, MOST_BODY, UP};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -10,24 +10,26 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
-use opalpulley::{Effect, TermsOfCarriage};
+use opalpulley::{Effect, ProfileTerms, TermsOfCarriage};
 use opalpulley_terms::Names;
 use slog::{debug, error, warn, Logger};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::Future;
+use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch, Notify};
 use tokio::task::{Id, JoinSet};
 use tower::Service;
 
-const HEAD_TIME: Duration = Duration::from_secs(10); // for a request's head, far over what clients wait
-const BODY_TIME: Duration = Duration::from_secs(5); // for its body, the same
+const HEAD_TIME: Duration = Duration::from_millis(2100); // from connecting, or the last answer, to the end of a head
+const BODY_TIME: Duration = Duration::from_millis(700); // from there to the end of its body: clients wait 400 ms for both
 const SHORT: Duration = Duration::from_secs(1); // for both where the connection serves only to say that all are taken
 const CROWDED: usize = 8; // one connection in so many is kept to answer that all others are taken
 const RETRY_ACCEPT: Duration = Duration::from_millis(20); // after accepting failed: descriptors may come free
@@ -35,8 +37,8 @@
 /// What all connections share.
 pub struct Door {
     pub names: Names,
-    /// For each profile, whether a packet needs an idempotency key.
-    pub marked: Vec<bool>,
+    /// For each profile, what a packet needs.
+    pub forms: Vec<Form>,
     pub ready: Arc<AtomicBool>,
     pub closing: AtomicBool,
     pub module: mpsc::Sender<HandIn>,
@@ -45,9 +47,13 @@
 
 impl Door {
     pub fn new(names: Names, terms: &TermsOfCarriage, module: mpsc::Sender<HandIn>, log: Logger) -> Door {
-        let marked =
-            terms.profiles.iter().map(|p| matches!(p.effect, Effect::Fingerprinted { .. })).collect();
-        Door { names, marked, ready: Arc::default(), closing: AtomicBool::new(false), module, log }
+        let form = |(name, row): (&String, &ProfileTerms)| Form {
+            name: name.clone(),
+            marked: matches!(row.effect, Effect::Fingerprinted { .. }),
+            longest: row.expiry,
+        };
+        let forms = names.profiles.iter().zip(&terms.profiles).map(form).collect();
+        Door { names, forms, ready: Arc::default(), closing: AtomicBool::new(false), module, log }
     }
 
     async fn answer(&self, request: Request<Incoming>, crowded: bool) -> Response<Full<Bytes>> {
@@ -61,7 +67,8 @@
             }
             _ => self.take(request).await,
         };
-        let mut answer = answer.unwrap_or_else(|BadRequest { status, reason }| {
+        let last = answer.as_ref().is_err_and(|bad| bad.last);
+        let mut answer = answer.unwrap_or_else(|BadRequest { status, reason, .. }| {
             let mut answer = Response::new(Full::from(reason + "\n"));
             *answer.status_mut() = status;
             if status == StatusCode::METHOD_NOT_ALLOWED {
@@ -69,7 +76,7 @@
             }
             answer
         });
-        if crowded || self.closing.load(Ordering::Relaxed) {
+        if last || crowded || self.closing.load(Ordering::Relaxed) {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         answer
@@ -85,10 +92,10 @@
 
     async fn take(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, BadRequest> {
         let too_large = || {
-            BadRequest::new(StatusCode::PAYLOAD_TOO_LARGE, format!("a body holds {MOST_BODY} bytes at most"))
+            BadRequest::last(StatusCode::PAYLOAD_TOO_LARGE, format!("a body holds {MOST_BODY} bytes at most"))
         };
         let (head, body) = request.into_parts();
-        let mut handed = decode_head(&head, &self.names, &self.marked)?;
+        let mut handed = decode_head(&head, &self.names, &self.forms)?;
         if body.size_hint().lower() > MOST_BODY as u64 {
             return Err(too_large());
         }
@@ -97,8 +104,8 @@
             // A copy of its own: a small body would keep all that was read with it.
             Ok(Ok(body)) => Bytes::copy_from_slice(&body.to_bytes()),
             Ok(Err(problem)) if problem.is::<LengthLimitError>() => return Err(too_large()),
-            Ok(Err(problem)) => return Err(BadRequest::new(StatusCode::BAD_REQUEST, problem.to_string())),
-            Err(_) => return Err(BadRequest::new(StatusCode::REQUEST_TIMEOUT, "the body did not come")),
+            Ok(Err(problem)) => return Err(BadRequest::last(StatusCode::BAD_REQUEST, problem.to_string())),
+            Err(_) => return Err(BadRequest::last(StatusCode::REQUEST_TIMEOUT, "the body did not come")),
         };
         if !self.ready.load(Ordering::Relaxed) {
             return Err(busy("not ready yet"));
@@ -112,6 +119,12 @@
             Answer::Taken => StatusCode::ACCEPTED,
             Answer::Deferred { .. } | Answer::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
             Answer::WrittenOff => StatusCode::GATEWAY_TIMEOUT,
+            Answer::OtherContent => {
+                let reason = "another packet with this id is open";
+                return Err(BadRequest::new(StatusCode::CONFLICT, reason));
+            }
+            // The list may be older than the client's: coming again does no harm.
+            Answer::Unlisted => return Err(busy("no list has named this destination")),
         };
         if let Answer::Deferred { come_back: Some(come_back) } = answer {
             if let Ok(value) = HeaderValue::from_str(&retry_after(come_back)) {
@@ -126,55 +139,105 @@
     BadRequest::new(StatusCode::SERVICE_UNAVAILABLE, reason)
 }
 
-/// How one connection stands: since which count it has been idle.
+/// How one connection stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Phase {
+    /// Nothing has come on it yet.
+    Silent,
+    /// It has had a request, and no byte of another.
+    Idle,
+    /// A head has begun and not ended.
+    Head,
+    /// A head is in, and its answer is not out.
+    Busy,
+}
+
+/// How one connection stands and since which turn. Whoever closes it waits for the request under way.
 struct Presence {
-    idle_since: AtomicU64,
+    state: Mutex<(Phase, u64)>,
+    closed: AtomicBool,
     close: Notify,
+    turn: Arc<AtomicU64>,
 }
 
-/// No count: it has had no request yet, has one under way, or is being closed.
-const NEVER: u64 = u64::MAX;
-
 impl Presence {
-    fn new() -> Presence {
-        Presence { idle_since: AtomicU64::new(NEVER), close: Notify::new() }
+    fn new(turn: Arc<AtomicU64>) -> Presence {
+        let since = turn.fetch_add(1, Ordering::Relaxed);
+        let state = Mutex::new((Phase::Silent, since));
+        Presence { state, closed: AtomicBool::new(false), close: Notify::new(), turn }
+    }
+
+    fn state(&self) -> (Phase, u64) {
+        *self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Guards rule 1: a new connection is not closed, for its request is on its way. One that was used may be:
-    /// a client whose request crosses that sends it once more.
-    fn idle(&self) -> Option<u64> {
-        let since = self.idle_since.load(Ordering::Relaxed);
-        (since != NEVER).then_some(since)
+    fn is(&self, phase: Phase) {
+        let since = self.turn.fetch_add(1, Ordering::Relaxed);
+        *self.state.lock().unwrap_or_else(PoisonError::into_inner) = (phase, since);
     }
 
-    fn busy(&self) {
-        self.idle_since.store(NEVER, Ordering::Relaxed);
+    /// Bytes have come: the beginning of a head, where none is under way.
+    fn heard(&self) {
+        if let Phase::Silent | Phase::Idle = self.state().0 {
+            self.is(Phase::Head);
+        }
     }
 
     fn close(&self) {
-        self.busy();
+        self.closed.store(true, Ordering::Relaxed);
         self.close.notify_one();
     }
 }
 
+/// A client's stream, which tells that bytes have come.
+struct Heard {
+    stream: TcpStream,
+    presence: Arc<Presence>,
+}
+
+impl AsyncRead for Heard {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.presence.heard();
+        }
+        poll
+    }
+}
+
+impl AsyncWrite for Heard {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
 /// The requests of one connection.
 #[derive(Clone)]
 struct Desk {
     door: Arc<Door>,
     presence: Arc<Presence>,
-    turn: Arc<AtomicU64>,
     crowded: bool,
 }
 
 /// Marks a connection as idle again, however its request ended.
-struct Busy {
-    presence: Arc<Presence>,
-    turn: Arc<AtomicU64>,
-}
+struct Busy(Arc<Presence>);
 
 impl Drop for Busy {
     fn drop(&mut self) {
-        self.presence.idle_since.store(self.turn.fetch_add(1, Ordering::Relaxed), Ordering::Relaxed);
+        self.0.is(Phase::Idle);
     }
 }
 
@@ -188,8 +251,8 @@
     }
 
     fn call(&mut self, request: Request<Incoming>) -> Self::Future {
-        self.presence.busy();
-        let busy = Busy { presence: self.presence.clone(), turn: self.turn.clone() };
+        self.presence.is(Phase::Busy);
+        let busy = Busy(self.presence.clone());
         let (door, crowded) = (self.door.clone(), self.crowded);
         Box::pin(async move {
             let answer = door.answer(request, crowded).await;
@@ -233,17 +296,10 @@
             tokio::select! {
                 accepted = accept => match accepted {
                     Ok((stream, _)) => {
-                        let crowded = tasks.len() >= self.most - self.most / CROWDED;
-                        if crowded {
-                            Self::close_one(&present);
-                        }
-                        let presence = Arc::new(Presence::new());
-                        let desk = Desk {
-                            door: self.door.clone(),
-                            presence: presence.clone(),
-                            turn: turn.clone(),
-                            crowded,
-                        };
+                        let full = tasks.len() >= self.most - self.most / CROWDED;
+                        let crowded = full && !Self::close_one(&present);
+                        let presence = Arc::new(Presence::new(turn.clone()));
+                        let desk = Desk { door: self.door.clone(), presence: presence.clone(), crowded };
                         let task = tasks.spawn(serve(stream, desk));
                         present.insert(task.id(), presence);
                     }
@@ -266,7 +322,7 @@
                     let stage = *self.closing.borrow_and_update();
                     if stage >= Closing::Leaving {
                         self.door.closing.store(true, Ordering::Relaxed);
-                        present.values().filter(|p| p.idle().is_some()).for_each(|p| p.close());
+                        present.values().filter(|p| p.state().0 == Phase::Idle).for_each(|p| p.close());
                     }
                     if stage == Closing::Shut {
                         listener = None;
@@ -276,12 +332,12 @@
         }
     }
 
-    /// Guards new clients against those that keep connections and seldom use them.
-    fn close_one(present: &BTreeMap<Id, Arc<Presence>>) {
-        let idle = present.values().filter_map(|p| Some((p.idle()?, p)));
-        if let Some((_, longest)) = idle.min_by_key(|(since, _)| *since) {
-            longest.close();
-        }
+    /// Guards new clients against those that keep connections and seldom use them, or never: closes the one that has
+    /// been silent longest, else idle, else within a head. One with a request fully in is never closed (rule 1).
+    fn close_one(present: &BTreeMap<Id, Arc<Presence>>) -> bool {
+        let open = present.values().filter(|p| !p.closed.load(Ordering::Relaxed)).map(|p| (p.state(), p));
+        let least = open.min_by_key(|(state, _)| *state).filter(|((phase, _), _)| *phase != Phase::Busy);
+        least.map(|(_, presence)| presence.close()).is_some()
     }
 }
 
@@ -295,14 +351,21 @@
         .timer(TokioTimer::new())
         .header_read_timeout(head_time)
         .max_buf_size(MOST_AHEAD)
-        .serve_connection(TokioIo::new(stream), TowerToHyperService::new(desk));
+        .serve_connection(
+            TokioIo::new(Heard { stream, presence: presence.clone() }),
+            TowerToHyperService::new(desk),
+        );
     tokio::pin!(connection);
     let ended = tokio::select! {
+        biased; // what has come is read first
         ended = &mut connection => ended,
-        () = presence.close.notified() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
+        () = presence.close.notified() => match presence.state().0 {
+            Phase::Silent | Phase::Head => return,
+            Phase::Idle | Phase::Busy => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        },
     };
     if let Err(problem) = ended {
         debug!(log, "a client's connection ended early"; "problem" => %problem);
--- a/crates/forwarder/src/module.rs
+++ b/crates/forwarder/src/module.rs
@@ -12,7 +12,7 @@
     Action, Arrival, DestinationId, Event, Forwarder, ListNews, Listing, Micros, Outcome, PacketId, Past,
     ProfileId, Standing, TargetId, TenantId, TermsOfCarriage, Token, ZoneId,
 };
-use slog::{crit, error, info, warn, Logger};
+use slog::{crit, debug, error, info, warn, Logger};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -39,6 +39,10 @@
     WrittenOff,
     /// The room of the terms is taken, or the journal can't hold it.
     NoRoom,
+    /// A packet with this id is open, and it is another one.
+    OtherContent,
+    /// No list has named its destination.
+    Unlisted,
 }
 
 pub struct HandIn {
@@ -88,13 +92,14 @@
     log: Logger,
     /// Set once the journal and the list are in.
     up: Arc<AtomicBool>,
-    ids: BTreeSet<String>, // that clients gave to open packets; each leaves with its packet
-    open: BTreeMap<PacketId, Open>, // each leaves with its end and its last outcome
+    ids: BTreeMap<String, PacketId>, // that clients gave to open packets; each leaves with its packet
+    named: BTreeSet<DestinationId>,  // that a list has named: as many as destinations have numbers at most
+    open: BTreeMap<PacketId, Open>,  // each leaves with its end and its last outcome
     peers: BTreeMap<TargetId, Peer>, // emptied of those gone without a call out
     alarms: BTreeSet<(Micros, u64, Token)>, // each leaves as it rings
-    later: VecDeque<Event>, // emptied before the next note is read
-    earlier: Option<Vec<Kept>>, // packets of an earlier process, until the list is in
-    owing: BTreeSet<u64>,  // ends that the platform has not heard of; each leaves as it has
+    later: VecDeque<Event>,          // emptied before the next note is read
+    earlier: Option<Vec<Kept>>,      // packets of an earlier process, until the list is in
+    owing: BTreeSet<u64>,            // ends that the platform has not heard of; each leaves as it has
     next_id: u32,
     next_alarm: u64,
     panics: u64,
@@ -131,7 +136,8 @@
             neighbours,
             log,
             up,
-            ids: BTreeSet::new(),
+            ids: BTreeMap::new(),
+            named: BTreeSet::new(),
             open: BTreeMap::new(),
             peers: BTreeMap::new(),
             alarms: BTreeSet::new(),
@@ -233,6 +239,7 @@
         }
         if let ListNews::Whole(entries) | ListNews::Cached(entries) | ListNews::Changes(entries) = &news {
             for entry in entries {
+                self.named.insert(entry.destination);
                 let peer = self.peers.entry(entry.target);
                 peer.and_modify(|p| p.listing = entry.clone()).or_insert_with(|| Peer {
                     listing: entry.clone(),
@@ -277,8 +284,14 @@
             return;
         }
         // Guards against two packets from one: a client whose answer was lost on the way sends the same id again.
-        if self.ids.contains(&handed.request_id) {
-            let _ = answer.send(Answer::Taken);
+        if let Some(open) = self.ids.get(&handed.request_id).and_then(|id| self.open.get(id)) {
+            let of = |h: &Handed| (h.profile, h.destination, h.mark.clone(), h.body.clone());
+            let same = of(&open.handed) == of(&handed);
+            let _ = answer.send(if same { Answer::Taken } else { Answer::OtherContent });
+            return;
+        }
+        if !self.named.contains(&handed.destination) {
+            let _ = answer.send(Answer::Unlisted);
             return;
         }
         let expires = self.clock.now() + handed.left;
@@ -306,7 +319,7 @@
             self.finish(id, None);
         }
         if answer.send(refused.unwrap_or(Answer::Taken)).is_err() && refused.is_none() {
-            info!(self.log, "a client left before its answer");
+            debug!(self.log, "a client left before its answer");
             self.finish(id, None);
             self.handle(Event::Withdrawn { id });
         }
@@ -314,7 +327,7 @@
     }
 
     fn keep(&mut self, id: PacketId, open: Open) {
-        self.ids.insert(open.handed.request_id.clone());
+        self.ids.insert(open.handed.request_id.clone(), id);
         self.open.insert(id, open);
     }
 
--- a/crates/forwarder/src/protocol.rs
+++ b/crates/forwarder/src/protocol.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::header::TRANSFER_ENCODING;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, StatusCode};
 use opalpulley::{
@@ -47,49 +48,86 @@
 pub struct BadRequest {
     pub status: StatusCode,
     pub reason: String,
+    /// Where it ends is not known, or not waited for: what follows on the connection can't be trusted.
+    pub last: bool,
 }
 
 impl BadRequest {
     pub fn new(status: StatusCode, reason: impl Into<String>) -> BadRequest {
-        BadRequest { status, reason: reason.into() }
+        BadRequest { status, reason: reason.into(), last: false }
     }
+
+    pub fn last(status: StatusCode, reason: impl Into<String>) -> BadRequest {
+        BadRequest { last: true, ..BadRequest::new(status, reason) }
+    }
+}
+
+/// What a packet of a profile needs.
+#[derive(Clone, Debug)]
+pub struct Form {
+    pub name: String,
+    /// An idempotency key.
+    pub marked: bool,
+    /// No more time than this.
+    pub longest: Micros,
 }
 
-/// The head of a packet: all but its body. `marked` tells which profiles need an idempotency key.
-pub fn decode_head(head: &Parts, names: &Names, marked: &[bool]) -> Result<Handed, BadRequest> {
+/// The head of a packet: all but its body. `forms` are those of the profiles, in order.
+pub fn decode_head(head: &Parts, names: &Names, forms: &[Form]) -> Result<Handed, BadRequest> {
     let wrong = |reason: String| BadRequest::new(StatusCode::BAD_REQUEST, reason);
+    // Guards rule 2: a length beside it, which the library drops, may hide another request in the body.
+    if head.headers.contains_key(TRANSFER_ENCODING) {
+        return Err(BadRequest::last(
+            StatusCode::LENGTH_REQUIRED,
+            "a body comes with its length, not in chunks",
+        ));
+    }
     let path = head.uri.path();
-    let profile = path.strip_prefix('/').and_then(|class| names.profiles.iter().position(|p| p == class));
+    let profile = path.strip_prefix('/').and_then(|class| forms.iter().position(|f| f.name == class));
     let Some(profile) = profile else {
         return Err(BadRequest::new(StatusCode::NOT_FOUND, format!("no profile is handed in at {path}")));
     };
     if head.method != Method::POST {
         return Err(BadRequest::new(StatusCode::METHOD_NOT_ALLOWED, "a packet is handed in with POST"));
     }
-    let text = |name: &str| match head.headers.get(name).map(|v| v.to_str()) {
-        Some(Ok(value)) if value.len() <= LONGEST_NAME => Ok(Some(value.trim())),
-        Some(_) => Err(wrong(format!("{name} is no plain text of at most {LONGEST_NAME} characters"))),
-        None => Ok(None),
+    let form = &forms[profile];
+    let text = |name: &str| {
+        let mut values = head.headers.get_all(name).iter();
+        let value = values.next().map(|v| v.to_str());
+        match (value, values.next()) {
+            (_, Some(_)) => Err(wrong(format!("{name} comes more than once"))),
+            (Some(Ok(value)), None) if value.len() <= LONGEST_NAME => Ok(Some(value.trim())),
+            (Some(_), None) => {
+                Err(wrong(format!("{name} is no plain text of at most {LONGEST_NAME} characters")))
+            }
+            (None, None) => Ok(None),
+        }
     };
+    let number =
+        |text: &str| text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse::<u32>().ok()).flatten();
     let needed = |name: &str| match text(name)? {
         Some(value) if !value.is_empty() => Ok(value),
         _ => Err(wrong(format!("{name} is missing"))),
     };
-    if let Some(class) = text(CLASS)?.filter(|class| *class != names.profiles[profile]) {
+    if let Some(class) = text(CLASS)?.filter(|class| *class != form.name) {
         return Err(wrong(format!("{CLASS} says {class}, the path {path}")));
     }
     let left = needed(TIME_LEFT)?;
-    let left: u32 =
-        left.parse().map_err(|_| wrong(format!("{TIME_LEFT}: {left} is no whole number of ms")))?;
+    let left = number(left).ok_or_else(|| wrong(format!("{TIME_LEFT}: {left} is no whole number of ms")))?;
+    let left = Micros::from(left) * 1000;
+    if left > form.longest {
+        let longest = form.longest / 1000;
+        return Err(wrong(format!("{TIME_LEFT} is over what {} packets have: {longest} ms", form.name)));
+    }
     let parts = needed(ENVELOPE)?.split([';', ',', ' ']);
     let destination = parts.filter_map(|part| part.trim().strip_prefix("dest=")).next();
     let destination = destination.ok_or_else(|| wrong(format!("{ENVELOPE} has no dest")))?;
-    let destination = destination
-        .parse()
-        .map_err(|_| wrong(format!("{ENVELOPE}: {destination} is no number of a destination")))?;
+    let destination = number(destination)
+        .and_then(|number| u16::try_from(number).ok())
+        .ok_or_else(|| wrong(format!("{ENVELOPE}: {destination} is no number of a destination")))?;
     let mark = text(MARK)?.map(str::to_owned);
-    if mark.is_none() && marked.get(profile) == Some(&true) {
-        return Err(wrong(format!("{MARK} is missing, and {} needs one", names.profiles[profile])));
+    if form.marked && mark.as_ref().is_none_or(|m| m.is_empty()) {
+        return Err(wrong(format!("{MARK} is missing, and {} needs one", form.name)));
     }
     let retry = text(RETRY)?;
     let tenant = text(TENANT)?.and_then(|name| names.tenants.iter().position(|t| t == name));
@@ -98,7 +136,7 @@
         profile: ProfileId(profile as u16),
         tenant: tenant.map(|t| TenantId(t as u32)),
         destination: DestinationId(destination),
-        left: Micros::from(left) * 1000,
+        left,
         mark,
         again: retry == Some("1"),
         orphan: retry == Some("again"),
