--- a/crates/forwarder/src/targets.rs
+++ b/crates/forwarder/src/targets.rs
@@ -305,9 +305,12 @@
         self.underway.insert(task.id(), Underway { errand, began, quit: Some(quit) });
     }
 
+    /// The connection used last that has settled; where none has, the one used last.
     fn take_idle(&mut self) -> Option<(Line, Instant)> {
         let rest = self.rest();
-        while let Some(idle) = self.idle.pop() {
+        while !self.idle.is_empty() {
+            let settled = self.idle.iter().rposition(|i| i.since.elapsed() >= SETTLE);
+            let idle = self.idle.remove(settled.unwrap_or(self.idle.len() - 1));
             if idle.since.elapsed() < rest && !idle.line.link.sender.is_closed() {
                 return Some((idle.line, idle.since));
             }
--- a/crates/forwarder/src/targets/tests.rs
+++ b/crates/forwarder/src/targets/tests.rs
@@ -304,6 +304,28 @@
     }
 }
 
+/// Guards a call against the rest of a connection that has just served, where another has settled.
+#[tokio::test]
+async fn a_settled_connection_is_taken_first() {
+    let mut rig = Rig::new().await;
+    rig.call(&Bytes::new(), 1000).await;
+    let mut first = rig.accept().await;
+    rig.call(&Bytes::new(), 1000).await;
+    let mut second = rig.accept().await;
+    for stream in [&mut first, &mut second] {
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        read_call(stream).await;
+        stream.write_all(OK).await.expect("sent");
+        let Some(Note::Event(Event::TripEnded { outcome, .. })) = rig.notes.recv().await else {
+            panic!("no end")
+        };
+        assert_eq!(outcome, Outcome::Delivered);
+    }
+    tokio::time::sleep(Duration::from_millis(1)).await; // until the second is idle too
+    rig.call(&Bytes::new(), 1000).await;
+    assert!(!read_call(&mut first).await.is_empty());
+}
+
 #[tokio::test]
 async fn a_probe_asks_for_life() {
     let mut rig = Rig::new().await;
