--- a/crates/forwarder/src/clients.rs
+++ b/crates/forwarder/src/clients.rs
@@ -32,6 +32,7 @@
 const BODY_TIME: Duration = Duration::from_millis(700); // from there to the end of its body: clients wait 400 ms for both
 const SHORT: Duration = Duration::from_secs(1); // for both where the connection serves only to say that all are taken
 const CROWDED: usize = 8; // one connection in so many is kept to answer that all others are taken
+const IDLE_PART: usize = 4; // one connection in so many may stand idle: clients that share a bound need the others
 const RETRY_ACCEPT: Duration = Duration::from_millis(20); // after accepting failed: descriptors may come free
 
 /// What all connections share.
@@ -298,6 +299,7 @@
                     Ok((stream, _)) => {
                         let full = tasks.len() >= self.most - self.most / CROWDED;
                         let crowded = full && !Self::close_one(&present);
+                        Self::close_idle(&present, self.most / IDLE_PART);
                         let presence = Arc::new(Presence::new(turn.clone()));
                         let desk = Desk { door: self.door.clone(), presence: presence.clone(), crowded };
                         let task = tasks.spawn(serve(stream, desk));
@@ -332,6 +334,16 @@
         }
     }
 
+    /// Guards clients that may hold only so many connections together against those among them that ask once and
+    /// keep theirs for good: beyond `most` idle ones, those idle longest are closed.
+    fn close_idle(present: &BTreeMap<Id, Arc<Presence>>, most: usize) {
+        let idle = |p: &&Arc<Presence>| p.state().0 == Phase::Idle && !p.closed.load(Ordering::Relaxed);
+        for _ in most..present.values().filter(idle).count() {
+            let longest = present.values().filter(idle).min_by_key(|p| p.state());
+            longest.into_iter().for_each(|presence| presence.close());
+        }
+    }
+
     /// Guards new clients against those that keep connections and seldom use them, or never: closes the one that has
     /// been silent longest, else idle, else within a head. One with a request fully in is never closed (rule 1).
     fn close_one(present: &BTreeMap<Id, Arc<Presence>>) -> bool {
--- a/crates/forwarder/tests/program.rs
+++ b/crates/forwarder/tests/program.rs
@@ -455,6 +455,29 @@
     until("it is delivered", || calls(&seen, "last") >= 1);
 }
 
+/// Guards clients that share a bound on connections: those that ask once and stay leave room for the others.
+#[test]
+fn of_many_idle_connections_the_longest_idle_are_closed() {
+    let (target, _) = serve(|_, _| plain("200 OK"));
+    let platform = platform(vec![member(target, 7, "Ready")], 0);
+    let (_dir, state) = folder();
+    let forwarder = start(&state, &config("notice", "free", 200, 3.0), platform.address);
+    let ask = |n: usize| {
+        let mut stream = forwarder.connect().expect("taken");
+        let head = hand_in_head(&format!("i{n}"), "notice", 4);
+        stream.write_all(&[head.as_bytes(), b"body"].concat()).expect("written");
+        assert_eq!(status(&mut stream), 202);
+        stream
+    };
+    let mut asked: Vec<TcpStream> = (0..60).map(ask).collect();
+    thread::sleep(Duration::from_millis(100));
+    let mut closed = |n: usize| {
+        asked[n].set_read_timeout(Some(Duration::from_millis(50))).expect("set");
+        matches!(asked[n].read(&mut [0]), Ok(0))
+    };
+    assert_eq!((closed(0), closed(59)), (true, false));
+}
+
 #[test]
 fn a_full_journal_refuses_and_takes_again_once_packets_are_over() {
     let open = Arc::new(std::sync::atomic::AtomicBool::new(false));
