--- a/crates/forwarder/src/protocol.rs
+++ b/crates/forwarder/src/protocol.rs
@@ -144,8 +144,8 @@
     })
 }
 
-#[derive(Clone)]
 /// A request to a target, and how many bytes it takes on the connection.
+#[derive(Clone)]
 pub struct Outgoing {
     pub request: Request<Full<Bytes>>,
     pub length: u64,
