Laboratory: scenario files, receivers, load and oracle on a simulated clock

A new package crates/lab reads a scenario (TOML, errors with key and line), draws an open-loop load, models receivers and their failures without I/O, and drives the very core in service through them on a deterministic event loop; an oracle judges the six rules and the final answers from outside.

--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,12 @@
+//! The laboratory: one world for two clocks, an oracle of the rules, experiments and reports. Programs and tests use it; the
+//! product never does.
+
+pub mod chance;
+pub mod load;
+pub mod oracle;
+pub mod receivers;
+pub mod scenario;
+pub mod sim;
+pub mod subject;
+pub mod tally;
+pub mod world;
--- /dev/null
+++ b/crates/lab/src/load.rs
@@ -0,0 +1,193 @@
+//! The load: an open loop. Each packet has the time when it is due, whatever became of those before; both clocks draw the
+//! same packets from the same seed. Owns the streams; nothing grows with the packets drawn.
+
+use crate::chance::{exponential, stream, Pick};
+use crate::scenario::{Load, Scenario, Shape};
+use crate::world::Layout;
+use opalpulley::Micros;
+use rand::Rng;
+use rand_pcg::Pcg64Mcg;
+
+/// A packet that is due.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Due {
+    /// µs from the start of the run.
+    pub at: Micros,
+    pub destination: u16,
+    pub profile: u16,
+    pub tenant: Option<u32>,
+    pub key: u64,
+    /// How long it may be delivered, µs.
+    pub left: Micros,
+    pub body: usize,
+    pub returns: u32,
+}
+
+struct Stream {
+    load: Load,
+    rng: Pcg64Mcg,
+    pick: Pick,
+    /// Numbers of the destinations that `pick` chooses from.
+    destinations: Vec<u16>,
+    profiles: Vec<u16>,
+    tenant: Option<u32>,
+    replay: std::vec::IntoIter<(Micros, Option<u16>)>,
+    next: Option<(Micros, Option<u16>)>,
+}
+
+/// All streams of a scenario, merged by time.
+pub struct Loads {
+    streams: Vec<Stream>,
+    expiries: Vec<Micros>,
+    ends: Micros,
+}
+
+impl Loads {
+    pub fn new(scenario: &Scenario, layout: &Layout, seed: u64) -> Result<Loads, String> {
+        let ends = scenario.lasts.0;
+        let mut streams = Vec::new();
+        for (n, load) in scenario.loads.iter().enumerate() {
+            let named = |name: &String| load.destinations.is_empty() || load.destinations.contains(name);
+            let groups = scenario.destinations.iter();
+            let weights: Vec<f64> = groups
+                .flat_map(|d| vec![if named(&d.name) { d.weight } else { 0.0 }; d.count as usize])
+                .collect();
+            let destinations: Vec<u16> =
+                (0..weights.len()).filter(|d| weights[*d] > 0.0).map(|d| d as u16).collect();
+            let pick = Pick::new(destinations.iter().map(|d| weights[usize::from(*d)]), load.skew);
+            let profiles = (0..scenario.profiles.len())
+                .filter(|p| load.profiles.is_empty() || load.profiles.contains(&scenario.profiles[*p].name))
+                .map(|p| p as u16)
+                .collect();
+            let tenant =
+                load.tenant.as_ref().and_then(|t| scenario.tenants.iter().position(|o| o.name == *t));
+            let replay = match &load.shape {
+                Shape::Replay { file } => read_times(file, layout.destinations.len())?,
+                _ => Vec::new(),
+            };
+            let mut s = Stream {
+                load: load.clone(),
+                rng: stream(seed, "load", n as u64),
+                pick,
+                destinations,
+                profiles,
+                tenant: tenant.map(|t| t as u32),
+                replay: replay.into_iter(),
+                next: Some((0, None)),
+            };
+            s.advance(ends);
+            streams.push(s);
+        }
+        Ok(Loads { streams, expiries: scenario.profiles.iter().map(|p| p.expiry.0).collect(), ends })
+    }
+}
+
+impl Iterator for Loads {
+    type Item = Due;
+
+    fn next(&mut self) -> Option<Due> {
+        let first = |s: &Stream| s.next.map(|(at, _)| at);
+        let (n, _) =
+            self.streams.iter().enumerate().filter_map(|(n, s)| Some((n, first(s)?))).min_by_key(|f| f.1)?;
+        let s = &mut self.streams[n];
+        let (at, told) = s.next?;
+        s.advance(self.ends);
+        let destination = told.unwrap_or_else(|| s.destinations[s.pick.draw(&mut s.rng)]);
+        let profile = s.profiles[s.rng.random_range(0..s.profiles.len())];
+        let mut left = self.expiries[usize::from(profile)];
+        if let Some(short) = s.load.short {
+            if s.rng.random_bool(short.share.clamp(0.0, 1.0)) {
+                left = left.min(short.left.0);
+            }
+        }
+        let key = s.rng.random_range(0..s.load.keys.max(1));
+        let (tenant, body, returns) = (s.tenant, s.load.body, s.load.returns);
+        Some(Due { at, destination, profile, tenant, key, left, body, returns })
+    }
+}
+
+impl Stream {
+    /// Draws the next time, by thinning where the rate changes.
+    fn advance(&mut self, ends: Micros) {
+        if let Shape::Replay { .. } = self.load.shape {
+            self.next = self.replay.next().filter(|(at, _)| *at < ends);
+            return;
+        }
+        let Some((mut at, _)) = self.next else { return };
+        if let Shape::Even = self.load.shape {
+            at += (1e6 / self.load.rate).max(1.0) as Micros;
+            self.next = (at < ends).then_some((at, None));
+            return;
+        }
+        let most = self.load.shape.most();
+        if most <= 0.0 {
+            return self.next = None;
+        }
+        let mut time = at as f64;
+        loop {
+            time += exponential(&mut self.rng) * 1e6 / (self.load.rate * most);
+            at = time as Micros;
+            if at >= ends {
+                return self.next = None;
+            }
+            let times = self.load.shape.times(at);
+            if times >= most || self.rng.random::<f64>() * most < times {
+                return self.next = Some((at, None));
+            }
+        }
+    }
+}
+
+impl Shape {
+    /// So many times the mean rate at this time.
+    pub fn times(&self, at: Micros) -> f64 {
+        match self {
+            Shape::Poisson | Shape::Even | Shape::Replay { .. } => 1.0,
+            Shape::Steps { steps } => {
+                steps.iter().rev().find(|(from, _)| from.0 <= at).map_or(1.0, |(_, t)| *t)
+            }
+            Shape::Bursts { on, off, times, rest } => {
+                if at % (on.0 + off.0) < on.0 {
+                    *times
+                } else {
+                    *rest
+                }
+            }
+            Shape::Day { day, least, most } => {
+                let wave = (std::f64::consts::TAU * at as f64 / day.0 as f64).cos();
+                least + (most - least) * (1.0 - wave) / 2.0
+            }
+        }
+    }
+
+    fn most(&self) -> f64 {
+        match self {
+            Shape::Poisson | Shape::Even | Shape::Replay { .. } => 1.0,
+            Shape::Steps { steps } => steps.iter().map(|(_, t)| *t).fold(1.0, f64::max),
+            Shape::Bursts { times, rest, .. } => times.max(*rest),
+            Shape::Day { least, most, .. } => least.max(*most),
+        }
+    }
+}
+
+fn read_times(file: &std::path::Path, destinations: usize) -> Result<Vec<(Micros, Option<u16>)>, String> {
+    let shown = file.display();
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{shown}: {e}"))?;
+    let mut times = Vec::new();
+    for (n, line) in text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty() && !l.starts_with('#')) {
+        let mut parts = line.split(',').map(str::trim);
+        let bad = |what: &str| format!("{shown}:{}: {line}: {what}", n + 1);
+        let at: f64 = parts.next().unwrap_or("").parse().map_err(|_| bad("write a time in seconds first"))?;
+        let destination: Option<u16> =
+            parts.next().map(|d| d.parse().map_err(|_| bad("the destination is a number"))).transpose()?;
+        if !(0.0..1e9).contains(&at) || destination.is_some_and(|d| usize::from(d) >= destinations) {
+            return Err(bad("the time or the destination is out of range"));
+        }
+        times.push(((at * 1e6) as Micros, destination));
+    }
+    times.sort_unstable();
+    Ok(times)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/lab/src/oracle/tests.rs
@@ -0,0 +1,201 @@
+use super::*;
+
+fn oracle() -> Oracle {
+    let profile = |name: &str, effect: &str, more: &str| {
+        format!("[[profiles]]\nname = \"{name}\"\neffect = \"{effect}\"\nwindow = \"2s\"\ncontract_time = \"1s\"\nexpiry = \"10s\"\n{more}\n")
+    };
+    let text = format!(
+        "version = 1\nname = \"o\"\nshows = \"o\"\nlasts = \"1s\"\n[forwarders]\nslots = 2\ntrips = 3\n{}{}{}\
+         [[destinations]]\nname = \"d\"\nrate = 1.0\nservice = {{ kind = \"constant\", time = \"1ms\" }}\n[[loads]]\nrate = 1.0\n",
+        profile("r", "retriable", "in_order = true"),
+        profile("f", "fingerprinted", ""),
+        profile("b", "binding", "")
+    );
+    Oracle::new(&Scenario::read(&text, "o").expect("it is right"), 1000)
+}
+
+fn hand_in(o: &mut Oracle, duty: u64, profile: u16, key: Option<u64>) {
+    let taking =
+        Taking { duty, packet: duty, forwarder: 0, expires: 10_000_000, profile, destination: 0, key };
+    o.handed_in(taking);
+    o.taken(duty);
+}
+
+fn send(o: &mut Oracle, duty: u64, at: Micros) {
+    o.sent(Sending { duty, forwarder: 0, destination: 0, target: 5, holder: 0, gate: 0 }, at);
+}
+
+fn names(o: &Oracle) -> Vec<Rule> {
+    o.counts.keys().copied().collect()
+}
+
+#[test]
+fn a_packet_that_is_served_breaks_nothing_and_leaves_no_trace() {
+    let mut o = oracle();
+    hand_in(&mut o, 1, 1, None);
+    send(&mut o, 1, 100);
+    o.over(1, 0, 100, Ran::Perhaps);
+    o.took_effect(1, 1, 200);
+    o.ended(1, Final::Served, 300);
+    o.sweep(200_000_000);
+    o.sweep(300_000_000);
+    o.took_effect(2, 2, 200_000_000);
+    assert!(names(&o).is_empty() && o.held() == 0, "{:?}, {} held", o.breaks, o.held());
+}
+
+#[test]
+fn each_rule_has_a_case_that_breaks_it_and_one_just_inside() {
+    type Case = (Rule, fn(&mut Oracle, Micros), Micros, Micros);
+    // What is done, then a time that is still within the rule and one that is not.
+    let cases: [Case; 8] = [
+        (
+            Rule::Lost,
+            |o, t| {
+                hand_in(o, 1, 0, None);
+                o.sweep(t)
+            },
+            10_021_000,
+            10_021_001,
+        ),
+        (
+            Rule::Lost,
+            |o, t| {
+                hand_in(o, 1, 0, None);
+                o.ended(1, Final::WrittenOff, t)
+            },
+            10_021_000,
+            10_021_001,
+        ),
+        (
+            Rule::SentAfterEnd,
+            |o, t| {
+                hand_in(o, 1, 0, None);
+                o.ended(1, Final::Deferred, 500);
+                send(o, 1, t)
+            },
+            1500,
+            1501,
+        ),
+        (
+            Rule::EffectTwice,
+            |o, t| {
+                hand_in(o, 1, 1, None);
+                send(o, 1, 0);
+                o.over(1, 0, 0, Ran::Perhaps);
+                send(o, 1, t)
+            },
+            2_001_000,
+            2_001_001,
+        ),
+        (
+            Rule::DrainNotKept,
+            |o, t| {
+                hand_in(o, 1, 0, None);
+                o.told_standing(0, 5, 0, false, 0);
+                send(o, 1, t)
+            },
+            501_000,
+            501_001,
+        ),
+        (
+            Rule::WaitNotHeeded,
+            |o, t| {
+                hand_in(o, 1, 0, None);
+                o.told_to_wait(0, 0, 900);
+                send(o, 1, t)
+            },
+            900,
+            899,
+        ),
+        (
+            Rule::TooManyTrips,
+            |o, t| {
+                hand_in(o, 1, 0, None);
+                (0..t).for_each(|n| {
+                    send(o, 1, n);
+                    o.over(1, 0, n, Ran::No)
+                })
+            },
+            3,
+            4,
+        ),
+        (
+            Rule::TooManySlots,
+            |o, t| {
+                (1..=t).for_each(|n| {
+                    hand_in(o, n, 0, None);
+                    send(o, n, 1)
+                })
+            },
+            2,
+            3,
+        ),
+    ];
+    for (rule, case, inside, outside) in cases {
+        let mut o = oracle();
+        case(&mut o, inside);
+        assert!(names(&o).is_empty(), "{rule} inside: {:?}", o.breaks);
+        let mut o = oracle();
+        case(&mut o, outside);
+        assert_eq!(names(&o), [rule], "{:?}", o.breaks);
+    }
+}
+
+#[test]
+fn a_second_answer_a_second_trip_a_second_effect_and_a_wrong_place_are_seen() {
+    let mut o = oracle();
+    hand_in(&mut o, 1, 0, None);
+    o.ended(1, Final::Served, 10);
+    o.ended(1, Final::WrittenOff, 20);
+    assert_eq!(names(&o), [Rule::SecondFinalAnswer]);
+    let mut o = oracle();
+    hand_in(&mut o, 1, 0, None);
+    send(&mut o, 1, 0);
+    send(&mut o, 1, 1);
+    assert_eq!(names(&o), [Rule::TwoTripsOut]);
+    let mut o = oracle();
+    hand_in(&mut o, 1, 2, None);
+    send(&mut o, 1, 0);
+    o.over(1, 0, 0, Ran::No);
+    send(&mut o, 1, 5);
+    assert!(names(&o).is_empty());
+    o.over(1, 0, 5, Ran::Perhaps);
+    send(&mut o, 1, 9);
+    assert_eq!(names(&o), [Rule::EffectTwice]);
+    let mut o = oracle();
+    hand_in(&mut o, 1, 2, None);
+    o.took_effect(1, 1, 5);
+    o.took_effect(1, 1, 9);
+    assert_eq!(names(&o), [Rule::EffectTwice]);
+    let mut o = oracle();
+    hand_in(&mut o, 1, 0, None);
+    o.sent(Sending { duty: 1, forwarder: 0, destination: 3, target: 5, holder: 0, gate: 0 }, 1);
+    assert_eq!(names(&o), [Rule::WrongDestination]);
+}
+
+#[test]
+fn a_key_goes_on_only_when_the_one_before_is_over() {
+    let mut o = oracle();
+    hand_in(&mut o, 1, 0, Some(7));
+    hand_in(&mut o, 2, 0, Some(7));
+    hand_in(&mut o, 3, 0, Some(8));
+    send(&mut o, 1, 0);
+    send(&mut o, 3, 0);
+    o.over(3, 0, 0, Ran::Perhaps);
+    assert!(names(&o).is_empty());
+    o.ended(1, Final::WrittenOff, 50);
+    send(&mut o, 2, 60); // the first one's trip is still out
+    assert_eq!(names(&o), [Rule::OrderNotKept]);
+}
+
+#[test]
+fn nothing_is_owed_by_a_forwarder_that_is_down_or_lost_its_folder() {
+    let mut o = oracle();
+    hand_in(&mut o, 1, 0, None);
+    o.excuse(0, 51_000_000);
+    o.sweep(50_000_000);
+    assert!(names(&o).is_empty());
+    o.lost_with_folder(0, 50_000_000);
+    o.sweep(60_000_000);
+    assert!(names(&o).is_empty() && o.open() == 0);
+}
--- /dev/null
+++ b/crates/lab/src/scenario/terms.rs
@@ -0,0 +1,94 @@
+//! A scenario in the core's terms, and in the start papers of the program on sockets.
+
+use super::{Effect, Fading, Scenario};
+use opalpulley::{KindTerms, ListRates, ProfileTerms, RepeatGroup, RuleTerms, TenantTerms, TermsOfCarriage};
+use serde_json::{json, Value};
+
+impl Scenario {
+    /// What forwarder `number` is told at its start.
+    pub fn terms(&self, number: u32) -> TermsOfCarriage {
+        let profile = |p: &super::Profile| ProfileTerms {
+            effect: match p.effect {
+                Effect::Retriable => opalpulley::Effect::Retriable,
+                Effect::Fingerprinted => {
+                    opalpulley::Effect::Fingerprinted { group: RepeatGroup::All, window: p.window.0 }
+                }
+                Effect::Binding => opalpulley::Effect::Binding,
+            },
+            contract_time: p.contract_time.0,
+            expiry: p.expiry.0,
+            importance: p.importance,
+            late_share: p.late_share,
+            in_order: p.in_order,
+        };
+        let crew = &self.forwarders;
+        TermsOfCarriage {
+            forwarder: number as u16,
+            forwarders: crew.count,
+            slots: crew.slots,
+            room: crew.room,
+            max_trips: crew.trips,
+            may_probe: crew.may_probe,
+            may_call_off: crew.may_call_off,
+            may_say_when: crew.may_say_when,
+            longest_return: crew.longest_return.0,
+            list_rates: ListRates::Nominal,
+            fading: match crew.fading {
+                Fading::Evenly => opalpulley::Fading::Evenly,
+                Fading::Halving => opalpulley::Fading::Halving,
+            },
+            over_share_worth: 0.1,
+            profiles: self.profiles.iter().map(profile).collect(),
+            tenants: self.tenants.iter().map(|t| TenantTerms { quota: t.quota }).collect(),
+            kinds: [false, true].map(|routes_apart| KindTerms { routes_apart, per_call: 1 }).to_vec(),
+            zone_fees: vec![0.0, 0.0],
+            list_must_be_asked: false,
+            rules: RuleTerms {
+                answer_slack: self.rules.answer_slack.0,
+                drain_grace: self.rules.drain_grace.0,
+                cold_from: self.rules.cold_from,
+                warm_after: self.rules.warm_after.0,
+                fall_multiple: self.rules.fall_multiple,
+                overload_for: self.rules.overload_for.0,
+                order_pause: self.rules.order_pause.0,
+            },
+            round: 5_000,
+        }
+    }
+
+    /// The start papers of forwarder `number` on sockets, as the platform's deployment writes them.
+    pub fn papers(&self, number: u32, seed: u64) -> Value {
+        let effect = |e| match e {
+            Effect::Retriable => "free",
+            Effect::Fingerprinted => "guarded",
+            Effect::Binding => "single_shot",
+        };
+        let profile = |p: &super::Profile| {
+            json!({"Name": p.name, "Effect": effect(p.effect), "DedupWindowUs": p.window.0,
+                "GoalTimeUs": p.contract_time.0, "HardLimitUs": p.expiry.0, "LateShare": p.late_share,
+                "Points": p.importance, "SerialByKey": p.in_order})
+        };
+        let crew = &self.forwarders;
+        let idle = self.destinations.iter().map(|d| d.idle.0).min().unwrap_or(5_000_000);
+        let (fades, r) = (if crew.fading == Fading::Evenly { "linear" } else { "halving" }, &self.rules);
+        json!({
+            "name": format!("n{number}"), "seed": format!("{seed:016x}"),
+            "limits": {"memory_mb": 4.0 * crew.disk_mb, "sockets": 4096, "disk_mb": crew.disk_mb},
+            "settings": {
+                "Azs": ["a", "b"], "Balancers": crew.count, "Me": number, "HostTypes": ["shared", "apart"],
+                "QuantumUs": 5000, "Weights": "nominal", "OverShareWorth": 0.1,
+                "Accounts": self.tenants.iter().map(|t| json!({"Name": t.name, "QuotaPerS": t.quota})).collect::<Vec<_>>(),
+                "Domain": {"Fades": fades, "Workers": crew.slots, "PerCall": [1, 1], "RoutesApart": [false, true]},
+                "Limits": {"Cancelling": crew.may_call_off, "ConnIdleUs": idle,
+                    "ConnectTimeoutUs": self.network.connect_within.0, "MaxAttempts": crew.trips,
+                    "MaxOpen": crew.room, "MaxRetryAfterUs": crew.longest_return.0,
+                    "Probing": crew.may_probe, "RetryAfter": crew.may_say_when},
+                "Profiles": self.profiles.iter().map(profile).collect::<Vec<_>>(),
+                "Rules": {"AnswerSlackUs": r.answer_slack.0, "ColdFrom": r.cold_from,
+                    "DrainGraceUs": r.drain_grace.0, "FallMultiple": r.fall_multiple,
+                    "OverloadForUs": r.overload_for.0, "WarmAfterUs": r.warm_after.0,
+                    "OrderPauseUs": r.order_pause.0}
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sim/tests.rs
@@ -0,0 +1,76 @@
+use super::*;
+use crate::scenario::Scenario;
+use crate::subject::Make;
+
+fn hostile() -> Scenario {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../lab/scenarios/hostile.toml");
+    Scenario::load(std::path::Path::new(path)).expect("it is right")
+}
+
+fn run(scenario: &Scenario, seed: u64, make: Make) -> Outcome {
+    Sim::new(scenario, seed, make).expect("it starts").run(|_, _| {})
+}
+
+#[test]
+fn the_true_forwarder_breaks_no_rule_and_every_packet_has_its_end() {
+    for seed in 1..=4 {
+        let outcome = run(&hostile(), seed, Make::True);
+        assert!(outcome.misses().is_empty(), "seed {seed}: {:?}\n{:?}", outcome.misses(), outcome.breaks);
+        let c = &outcome.counts;
+        assert_eq!(c.served + c.written_off + c.given_up + c.gone, c.due, "seed {seed}");
+        assert!(c.due > 5000 && c.retried > 100, "{c:?}");
+    }
+}
+
+#[test]
+fn each_broken_forwarder_is_caught_by_the_name_of_its_rule() {
+    for (make, rule) in Make::BROKEN {
+        let outcome = run(&hostile(), 1, make);
+        assert!(outcome.broken.contains_key(rule), "{make:?} should break {rule}: {:?}", outcome.broken);
+    }
+}
+
+#[test]
+fn the_same_seed_gives_the_same_run_to_the_byte() {
+    let text = |seed| serde_json::to_string(&run(&hostile(), seed, Make::True)).expect("it is data");
+    assert_eq!(text(7), text(7));
+    assert_ne!(text(7), text(8));
+}
+
+#[test]
+fn a_run_cut_off_counts_what_is_open_and_blames_nobody() {
+    let sim = Sim::new(&hostile(), 1, Make::True).expect("it starts");
+    let (outcome, _) = sim.run_until(12_000_000, |_, _| {});
+    assert!(outcome.counts.open > 0 && outcome.broken.is_empty(), "{:?}", outcome.broken);
+}
+
+/// What the tables hold follows the packets that are open, not those ever seen.
+#[test]
+fn tables_do_not_grow_with_the_length_of_a_run() {
+    let held = |lasts: u64| {
+        let mut scenario = hostile();
+        scenario.troubles.clear();
+        scenario.lasts = crate::scenario::Span(lasts * 1_000_000);
+        Sim::new(&scenario, 1, Make::True).expect("it starts").run_until(Micros::MAX, |_, _| {}).1.most_held
+    };
+    let (short, long) = (held(150), held(450));
+    assert!(long < short * 11 / 10, "{short} entries, then {long}");
+}
+
+/// A forwarder that comes back with its folder gives what is overdue its end at once.
+#[test]
+fn a_folder_with_overdue_packets_is_taken_over() {
+    let mut scenario = hostile();
+    scenario.troubles.retain(|t| matches!(t.what, crate::scenario::What::Killed { .. }));
+    scenario.forwarders.count = 1;
+    scenario.troubles[0].lasts = crate::scenario::Span(15_000_000); // longer than any packet lives
+    scenario.loads[0].rate = 200.0; // so that lines wait
+    let outcome = run(&scenario, 3, Make::True);
+    assert!(
+        outcome.broken.is_empty() && outcome.counts.open == 0,
+        "{:?} {:?}",
+        outcome.breaks,
+        outcome.counts
+    );
+    assert!(outcome.counts.written_off > 0, "{:?}", outcome.counts);
+}
