Forwarder is a library with a thin program; its notes have a room below the actors

Need: module, list, neighbours, notices and targets imported each other in a circle, for their notes lived with the actors that read them, and nothing could start a forwarder in process.

--- a/crates/forwarder/src/clients.rs
+++ b/crates/forwarder/src/clients.rs
@@ -1,6 +1,6 @@
 //! The clients' side: connections, and a tower service for the requests on them.
 
-use crate::module::{Answer, HandIn};
+use crate::notes::{Answer, HandIn};
 use crate::protocol::{decode_head, retry_after, BadRequest, Form, MOST_AHEAD, MOST_BODY, UP};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
--- /dev/null
+++ b/crates/forwarder/src/lib.rs
@@ -0,0 +1,136 @@
+//! opalpulley's forwarder on sockets: one process, one core, an actor for each peer. A library with a thin program on top, so
+//! that other programs can start one in process.
+
+mod clients;
+mod clock;
+mod journal;
+mod link;
+mod list;
+mod module;
+mod neighbours;
+mod notes;
+mod notices;
+mod papers;
+mod platform;
+mod protocol;
+mod reload;
+mod shutdown;
+mod stream;
+mod targets;
+
+pub use papers::{BadPapers, Papers};
+
+use clients::{Clients, Closing, Door};
+use clock::Clock;
+use journal::Journal;
+use list::{Held, List};
+use module::{Module, Ways};
+use notes::Note;
+use notices::Notices;
+use opalpulley::{Event, ListNews};
+use platform::Platform;
+use reload::Reread;
+use slog::{error, info, Logger};
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+use targets::Links;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::{mpsc, watch, Semaphore};
+
+const NOTES: usize = 1024; // waiting for the module's actor: those who send them wait when it is full
+const HAND_INS: usize = 256; // packets waiting for it: some milliseconds' work; more are refused
+const LIST_NOTES: usize = 16; // to the list's actor
+const NEIGHBOUR_NOTES: usize = 256; // to the neighbours'
+const BACKLOG: u32 = 1024; // clients waiting to be accepted: one that finds it full waits a second
+const LAST_ANSWERS: Duration = Duration::from_millis(50); // for answers on their way when the process ends
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?; // connections of an earlier process may still be fading
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// What a running forwarder is told by whoever started it.
+pub struct Orders {
+    /// Falls when it is to end: in order, within 3.3 s.
+    pub end: Pin<Box<dyn Future<Output = ()> + Send>>,
+    /// One for each time that the papers are to be read again.
+    pub reload: mpsc::Receiver<()>,
+    /// Where they are read.
+    pub reread: Reread,
+}
+
+/// Runs one forwarder to its end. Fails where its address or its folder can't be used.
+pub async fn run(mut papers: Papers, orders: Orders, log: Logger) -> io::Result<()> {
+    let clock = Clock::start();
+    let names = papers.waybill.names.clone();
+    let terms = papers.waybill.terms.clone();
+    let (module_box, notes) = mpsc::channel(NOTES);
+    let (client_box, hand_ins) = mpsc::channel(HAND_INS);
+    let (list_box, list_notes) = mpsc::channel(LIST_NOTES);
+    let (notice_box, owed) = mpsc::unbounded_channel();
+    let (neighbour_box, neighbour_notes) = mpsc::channel(NEIGHBOUR_NOTES);
+    let (closing, closing_seen) = watch::channel(Closing::No);
+    let links = Arc::new(Links {
+        terms: papers.waybill.links.clone(),
+        names: names.clone(),
+        idle: Arc::new(Semaphore::new(papers.idle_sockets)),
+        module: module_box.clone(),
+        log: log.clone(),
+    });
+    let listener = listen(papers.listen)?;
+    let door = Arc::new(Door::new(names.clone(), &terms, client_box, log.clone()));
+    let clients = Clients { door: door.clone(), most: papers.client_sockets, closing: closing_seen };
+    tokio::spawn(clients.run(listener));
+
+    let (journal, packets) = Journal::open(&papers.state, papers.disk)?;
+    info!(log, "started"; "name" => &papers.name, "packets" => packets.len(), "listen" => %papers.listen,
+        "discovery" => %papers.discovery);
+    let ways = Ways {
+        links,
+        list: list_box,
+        notices: notice_box,
+        neighbours: neighbour_box,
+        up: door.ready.clone(),
+    };
+    let mut module = Module::new(terms.clone(), papers.seed, clock, journal, ways, log.clone());
+    let mut held = Held::default();
+    let known = papers.known.take().and_then(|text| held.take(text, &names));
+    if let Some(ListNews::Whole(known) | ListNews::Changes(known)) = known {
+        module.read(Note::Event(Event::List(ListNews::Cached(known))));
+    }
+    module.take_over(packets);
+
+    let platform = || Platform::new(papers.discovery);
+    let (moves, discovery) = watch::channel(papers.discovery);
+    tokio::spawn(reload::run(orders.reload, orders.reread, papers.fixed(), moves, log.clone()));
+    let list = List {
+        platform: platform(),
+        discovery: discovery.clone(),
+        names,
+        held,
+        must_be_asked: terms.list_must_be_asked,
+        module: module_box.clone(),
+        log: log.clone(),
+    };
+    tokio::spawn(list.run(list_notes));
+    let notices = Notices { platform: platform(), discovery, module: module_box.clone(), log: log.clone() };
+    tokio::spawn(notices.run(owed));
+    let neighbours = neighbours::run(papers.neighbours, neighbour_notes, module_box.clone(), log.clone());
+    let neighbour_log = log.clone();
+    tokio::spawn(async move {
+        if let Err(problem) = neighbours.await {
+            error!(neighbour_log, "neighbours can't be heard"; "problem" => %problem);
+        }
+    });
+    let leave = shutdown::run(orders.end, &closing, module_box, log.clone());
+    module.run(notes, hand_ins, leave).await;
+    tokio::time::sleep(LAST_ANSWERS).await;
+    info!(log, "ended");
+    Ok(())
+}
--- a/crates/forwarder/src/list.rs
+++ b/crates/forwarder/src/list.rs
@@ -1,6 +1,6 @@
 //! The list of targets: one actor that asks the platform's agent for the whole list, then watches what changes.
 
-use crate::module::Note;
+use crate::notes::{ListNote, Note};
 use crate::platform::{AskFault, Platform};
 use crate::protocol::{list_path, ListText, Member, Phase};
 use hyper::{Method, StatusCode};
@@ -16,11 +16,6 @@
 const PATIENCE: Duration = Duration::from_secs(2); // for an answer, beyond what was asked for: the agent is next door
 const AGAIN: Duration = Duration::from_millis(150); // between tries: under the time after which a watch begins anew
 
-pub enum ListNote {
-    Watch(bool),
-    Fetch,
-}
-
 /// The list as last held: members by id, each under the number by which the core knows it. Each leaves as it goes.
 #[derive(Default)]
 pub struct Held {
--- a/crates/forwarder/src/module.rs
+++ b/crates/forwarder/src/module.rs
@@ -3,11 +3,9 @@
 
 use crate::clock::Clock;
 use crate::journal::{Journal, Kept};
-use crate::list::ListNote;
-use crate::neighbours::NeighbourNote;
-use crate::notices::Owed;
+use crate::notes::{Answer, Call, HandIn, ListNote, NeighbourNote, Note, Owed, TargetNote};
 use crate::protocol::{Ending, Handed};
-use crate::targets::{Call, Links, Target, TargetNote};
+use crate::targets::{Links, Target};
 use opalpulley::{
     Action, Arrival, DestinationId, Event, Forwarder, ListNews, Listing, Micros, Outcome, PacketId, Past,
     ProfileId, Standing, TargetId, TenantId, TermsOfCarriage, Token, ZoneId,
@@ -18,7 +16,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 
 /// After the start, for a list where none was known: packets of an earlier process wait no longer than that.
 const LIST_WAIT: Duration = Duration::from_millis(1000);
@@ -29,33 +27,6 @@
 /// Notes to a target beyond one for each slot: call-offs, probes, closings.
 const TARGET_NOTES: usize = 64;
 
-/// What the client hears of a packet that it hands in.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Answer {
-    Taken,
-    Deferred {
-        come_back: Option<Micros>,
-    },
-    WrittenOff,
-    /// The room of the terms is taken, or the journal can't hold it.
-    NoRoom,
-    /// A packet with this id is open, and it is another one.
-    OtherContent,
-    /// No list has named its destination.
-    Unlisted,
-}
-
-pub struct HandIn {
-    pub handed: Handed,
-    pub answer: oneshot::Sender<Answer>,
-}
-
-pub enum Note {
-    Event(Event),
-    /// The platform knows of these ends.
-    Heard(Vec<u64>),
-}
-
 /// A packet that is not over.
 struct Open {
     serial: u64,
--- a/crates/forwarder/src/module/tests.rs
+++ b/crates/forwarder/src/module/tests.rs
@@ -3,7 +3,7 @@
 use opalpulley_terms::LinkTerms;
 use tempfile::TempDir;
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
+use tokio::sync::{oneshot, Semaphore};
 
 fn terms() -> (TermsOfCarriage, opalpulley_terms::Names, LinkTerms) {
     let text = include_str!("../../../../examples/papers.json");
--- a/crates/forwarder/src/neighbours.rs
+++ b/crates/forwarder/src/neighbours.rs
@@ -1,6 +1,6 @@
 //! Notes between forwarders: datagrams, which come late or not at all.
 
-use crate::module::Note;
+use crate::notes::{NeighbourNote, Note};
 use crate::papers::Neighbours;
 use opalpulley::Event;
 use slog::{warn, Logger};
@@ -10,12 +10,6 @@
 
 const MOST_NOTE: usize = 256; // bytes, the protocol's limit
 
-pub struct NeighbourNote {
-    /// None for all.
-    pub neighbour: Option<u16>,
-    pub note: Vec<u8>,
-}
-
 /// Carries notes both ways; where the deployment has no neighbours, it takes none.
 pub async fn run(
     who: Neighbours,
--- /dev/null
+++ b/crates/forwarder/src/notes.rs
@@ -0,0 +1,76 @@
+//! The notes by which the actors talk. Each is plain data for one mailbox, below all actors: whoever sends one needs not
+//! know who reads it.
+
+use crate::protocol::{Ending, Handed};
+use bytes::Bytes;
+use opalpulley::{Event, Micros, PacketId};
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// What the client hears of a packet that it hands in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    Taken,
+    Deferred {
+        come_back: Option<Micros>,
+    },
+    WrittenOff,
+    /// The room of the terms is taken, or the journal can't hold it.
+    NoRoom,
+    /// A packet with this id is open, and it is another one.
+    OtherContent,
+    /// No list has named its destination.
+    Unlisted,
+}
+
+/// A packet at the door, and where its answer goes.
+pub struct HandIn {
+    pub handed: Handed,
+    pub answer: oneshot::Sender<Answer>,
+}
+
+/// To the module's actor.
+pub enum Note {
+    Event(Event),
+    /// The platform knows of these ends.
+    Heard(Vec<u64>),
+}
+
+/// To the list's actor.
+pub enum ListNote {
+    Watch(bool),
+    Fetch,
+}
+
+/// To the neighbours' socket.
+pub struct NeighbourNote {
+    /// None for all.
+    pub neighbour: Option<u16>,
+    pub note: Vec<u8>,
+}
+
+/// An end to be told: the packet's serial number and id.
+#[derive(Clone, Debug)]
+pub struct Owed {
+    pub serial: u64,
+    pub request_id: String,
+    pub ending: Ending,
+}
+
+/// To a target's actor.
+pub enum TargetNote {
+    Call(Call),
+    Probe,
+    CallOff { id: PacketId, trip: u8 },
+    CloseIdle,
+}
+
+/// One call: a trip of a packet, with all that its codec needs.
+pub struct Call {
+    pub id: PacketId,
+    pub trip: u8,
+    pub request_id: String,
+    pub mark: Option<String>,
+    pub body: Bytes,
+    pub limit: Duration,
+}
--- a/crates/forwarder/src/notices.rs
+++ b/crates/forwarder/src/notices.rs
@@ -1,8 +1,8 @@
 //! Notices: the ends that the platform has still to hear of, repeated until it has.
 
-use crate::module::Note;
+use crate::notes::{Note, Owed};
 use crate::platform::{AskFault, Platform};
-use crate::protocol::{encode_notices, Ending, OUTCOMES};
+use crate::protocol::{encode_notices, OUTCOMES};
 use hyper::{Method, StatusCode};
 use slog::{error, info, warn, Logger};
 use std::collections::VecDeque;
@@ -14,14 +14,6 @@
 const PATIENCE: Duration = Duration::from_millis(1000); // for an answer: the agent is next door and answers at once
 const AGAIN: Duration = Duration::from_millis(50); // between tries: a notice may be only 300 ms late
 
-/// An end to be told: the packet's serial number and id.
-#[derive(Clone, Debug)]
-pub struct Owed {
-    pub serial: u64,
-    pub request_id: String,
-    pub ending: Ending,
-}
-
 pub struct Notices {
     pub platform: Platform,
     /// Where the platform is told, from each change on.
--- a/crates/forwarder/src/reload.rs
+++ b/crates/forwarder/src/reload.rs
@@ -1,14 +1,22 @@
 //! SIGHUP: the start papers are read again. The platform's address is taken over; other keys count from the next start.
 
-use crate::papers::{Fixed, Papers};
+use crate::papers::{BadPapers, Fixed, Papers};
 use slog::{error, info, warn, Logger};
 use std::net::SocketAddr;
-use tokio::signal::unix::Signal;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
-pub async fn run(mut hang_up: Signal, fixed: Fixed, discovery: watch::Sender<SocketAddr>, log: Logger) {
+/// Where the papers are read again.
+pub type Reread = Box<dyn Fn() -> Result<Papers, BadPapers> + Send>;
+
+pub async fn run(
+    mut hang_up: mpsc::Receiver<()>,
+    reread: Reread,
+    fixed: Fixed,
+    discovery: watch::Sender<SocketAddr>,
+    log: Logger,
+) {
     while hang_up.recv().await.is_some() {
-        let papers = match Papers::from_env() {
+        let papers = match reread() {
             Ok(papers) => papers,
             Err(problem) => {
                 error!(log, "the papers can't be used, the old ones stay"; "problem" => %problem);
--- a/crates/forwarder/src/shutdown.rs
+++ b/crates/forwarder/src/shutdown.rs
@@ -1,27 +1,25 @@
 //! The planned end: on SIGTERM the forwarder answers what still comes, finishes trips and leaves in time.
 
 use crate::clients::Closing;
-use crate::module::Note;
+use crate::notes::Note;
 use opalpulley::Event;
 use slog::{info, Logger};
+use std::future::Future;
 use std::time::Duration;
-use tokio::signal::unix::Signal;
 use tokio::sync::{mpsc, watch};
 
 const SHUT: Duration = Duration::from_millis(700); // after SIGTERM: new connections go on coming for 0.4 s
 const CEASE: Duration = Duration::from_millis(2300); // no new trips: those out may take a second yet
 const LEAVE: Duration = Duration::from_millis(3300); // the process ends; the platform kills it at 3.7 s
 
-/// Waits for SIGTERM and takes the process through the stages of its end; `leave` falls at the last one.
+/// Waits until it is asked to end and takes the process through the stages of its end; `leave` falls at the last one.
 pub async fn run(
-    mut term: Signal,
+    term: impl Future<Output = ()>,
     closing: &watch::Sender<Closing>,
     module: mpsc::Sender<Note>,
     log: Logger,
 ) {
-    if term.recv().await.is_none() {
-        std::future::pending::<()>().await;
-    }
+    term.await;
     let begun = tokio::time::Instant::now();
     info!(log, "asked to end");
     closing.send_replace(Closing::Leaving);
--- a/crates/forwarder/src/targets.rs
+++ b/crates/forwarder/src/targets.rs
@@ -3,10 +3,9 @@
 
 use crate::clock::micros;
 use crate::link::Link;
-use crate::module::Note;
+use crate::notes::{Call, Note, TargetNote};
 use crate::protocol::{self, Outgoing, MOST_AHEAD};
 use crate::stream::{Answer, Sight, Stream};
-use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::Builder;
@@ -32,22 +31,6 @@
 const SETTLE: Duration = Duration::from_millis(3); // before a connection serves again: noise comes right behind an answer
 const PROBE_TIME: f64 = 1.5; // times what a connection may take: a probe opens one and waits for its answer
 
-pub enum TargetNote {
-    Call(Call),
-    Probe,
-    CallOff { id: PacketId, trip: u8 },
-    CloseIdle,
-}
-
-pub struct Call {
-    pub id: PacketId,
-    pub trip: u8,
-    pub request_id: String,
-    pub mark: Option<String>,
-    pub body: Bytes,
-    pub limit: Duration,
-}
-
 /// How far an attempt had come when it failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
--- a/crates/forwarder/src/targets/tests.rs
+++ b/crates/forwarder/src/targets/tests.rs
@@ -1,6 +1,7 @@
 //! Each way in which a call can end, against a stand-in on a socket of this machine.
 
 use super::*;
+use bytes::Bytes;
 use opalpulley::Outcome;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,6 +2,7 @@
 //! product never does.
 
 pub mod chance;
+pub mod experiments;
 pub mod load;
 pub mod oracle;
 pub mod receivers;
