Laboratory on sockets: stand-ins, load tool, processes, reports and the opalpulley-lab program

Need: the same world must be seen on real sockets round real forwarder processes, and compared by people.

--- a/crates/lab/src/sim/stations.rs
+++ b/crates/lab/src/sim/stations.rs
@@ -262,7 +262,7 @@
         self.oracle.over(trip.duty, forwarder, trip.sent, perhaps);
         let spot = self.layout.targets[place];
         if let Outcome::Full { wait: Some(wait) } = outcome {
-            self.oracle.told_to_wait(forwarder, spot.gate, self.now + wait);
+            self.oracle.told_to_wait(forwarder, spot.gate, self.now, self.now + wait);
         }
         let station = &mut self.stations[forwarder as usize];
         let (life, ahead) = (station.life, station.ahead);
--- /dev/null
+++ b/crates/lab/src/sockets/run.rs
@@ -0,0 +1,430 @@
+//! One run on sockets: the stage is set, the forwarders are started, the timeline plays, the books are closed.
+
+use super::agents::{Agent, Entry, Phase};
+use super::clients::{self, Door};
+use super::processes::Process;
+use super::targets::{self, Standin};
+use super::{Stage, MOST_LATE};
+use crate::chance::stream;
+use crate::load::Loads;
+use crate::oracle::Rule;
+use crate::scenario::{Scenario, What};
+use crate::tally::{Clock, Outcome};
+use crate::world::Layout;
+use opalpulley::Micros;
+use rand::Rng;
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::sync::Mutex as AsyncMutex;
+
+const SWEEP: Duration = Duration::from_millis(100);
+const LAST: Micros = 3_000_000; // after the last expiry
+const READY: Micros = 1_500_000; // after a restart: from then on what is owed may be overdue
+
+/// How a run on sockets is done.
+pub struct Means {
+    /// The forwarder's program.
+    pub program: PathBuf,
+    /// Where its log goes; nowhere if not told.
+    pub logs: Option<PathBuf>,
+}
+
+/// What the forwarders used, over the time in which packets were due.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Usage {
+    /// CPU µs of all forwarders, from the first packet due to the last.
+    pub cpu: u64,
+    /// Resident bytes of the largest, at most.
+    pub memory: u64,
+    /// Calls on the kernel are not counted here: a tracer would slow them.
+    pub seconds: f64,
+}
+
+struct Timeline {
+    stage: Arc<Stage>,
+    standins: Vec<Arc<Standin>>,
+    agents: Vec<Arc<Agent>>,
+    doors: Vec<Arc<Door>>,
+    processes: Vec<Arc<AsyncMutex<Process>>>,
+    lags: Mutex<Pcg64Mcg>,
+    standing: Mutex<Vec<Phase>>,
+    stale_until: Mutex<Micros>,
+    seed: u64,
+    begin: Micros,
+    crashes: Mutex<Vec<String>>,
+    /// Forwarders that are killed now: one that has ended else has crashed.
+    down: Mutex<BTreeSet<u32>>,
+}
+
+fn locked<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A free port of loopback, for a forwarder to listen on.
+fn free_address() -> std::io::Result<SocketAddr> {
+    std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+}
+
+/// Plays a scenario in real time. `watch` hears how far it is, of how much, µs.
+pub async fn run(
+    scenario: &Scenario,
+    seed: u64,
+    means: &Means,
+    mut watch: impl FnMut(Micros, Micros),
+) -> Result<(Outcome, Usage), String> {
+    let told = |e: std::io::Error| format!("the stage could not be set: {e}");
+    let folder = tempfile::tempdir().map_err(told)?;
+    let (stage, agains) = Stage::new(scenario, seed, false);
+    let standins = targets::start(&stage).await.map_err(told)?;
+    let (mut agents, mut doors, mut processes) = (Vec::new(), Vec::new(), Vec::new());
+    for number in 0..scenario.forwarders.count {
+        let agent = Agent::start(&stage, number, &standins, 0).await.map_err(told)?;
+        let listen = free_address().map_err(told)?;
+        let logs = means.logs.as_deref();
+        let mut process =
+            Process::new(&means.program, folder.path(), number, listen, agent.address, scenario, seed, logs);
+        process.start().await?;
+        agents.push(agent);
+        doors.push(Door::new(listen));
+        processes.push(Arc::new(AsyncMutex::new(process)));
+    }
+    let begin = stage.now() + 200_000;
+    let timeline = Arc::new(Timeline {
+        standing: Mutex::new(vec![Phase::Ready; standins.len()]),
+        stage: stage.clone(),
+        standins,
+        agents,
+        doors: doors.clone(),
+        processes,
+        lags: Mutex::new(stream(seed, "lags", 0)),
+        stale_until: Mutex::new(0),
+        seed,
+        begin,
+        crashes: Mutex::default(),
+        down: Mutex::default(),
+    });
+    stage.lock().tally.begins(begin);
+    let loads = Loads::new(scenario, &stage.layout, seed)?;
+    let load = tokio::spawn(clients::run(stage.clone(), doors, loads, agains, begin));
+    let troubles: Vec<_> =
+        (0..scenario.troubles.len()).map(|n| tokio::spawn(timeline.clone().trouble(n))).collect();
+
+    let (load_ends, last) =
+        (begin + scenario.lasts.0, begin + scenario.lasts.0 + scenario.longest_expiry() + LAST);
+    let mut usage = Usage { seconds: scenario.lasts.seconds(), ..Usage::default() };
+    let cpu_before = timeline.used().await.0;
+    let mut measured = false;
+    let mut sweep = tokio::time::interval(SWEEP);
+    loop {
+        sweep.tick().await;
+        let now = stage.now();
+        watch(now.saturating_sub(begin), last - begin);
+        let open = {
+            let mut state = stage.lock();
+            state.oracle.sweep(now);
+            state.packets.len()
+        };
+        timeline.look_for_crashes().await;
+        if !measured {
+            let (cpu, memory) = timeline.used().await;
+            usage.memory = usage.memory.max(memory);
+            if now >= load_ends {
+                (usage.cpu, measured) = (cpu.saturating_sub(cpu_before), true);
+            }
+        }
+        let quiet = now > load_ends && open == 0 && troubles.iter().all(tokio::task::JoinHandle::is_finished);
+        if quiet || now > last {
+            break;
+        }
+    }
+    load.abort();
+    for process in &timeline.processes {
+        process.lock().await.kill(true).await;
+    }
+    Ok((timeline.close(scenario), usage))
+}
+
+impl Timeline {
+    /// CPU of all forwarders and the memory of the largest.
+    async fn used(&self) -> (u64, u64) {
+        let (mut cpu, mut memory) = (0, 0);
+        for process in &self.processes {
+            if let Ok(process) = process.try_lock() {
+                if let Some((c, m)) = process.used() {
+                    (cpu, memory) = (cpu + c, memory.max(m));
+                }
+            }
+        }
+        (cpu, memory)
+    }
+
+    async fn look_for_crashes(&self) {
+        for (number, process) in self.processes.iter().enumerate() {
+            let Ok(mut process) = process.try_lock() else { continue };
+            if locked(&self.down).contains(&(number as u32)) {
+                continue;
+            }
+            if let Some(how) = process.ended() {
+                locked(&self.crashes).push(format!("forwarder {number} ended by itself: {how}"));
+                locked(&self.down).insert(number as u32);
+            }
+        }
+    }
+
+    fn close(&self, scenario: &Scenario) -> Outcome {
+        let now = self.stage.now();
+        let mut state = self.stage.lock();
+        for fall in state.receivers.falls.clone() {
+            if fall.blamed {
+                let (target, calls, budget) = (fall.target, fall.calls, fall.budget);
+                let what =
+                    format!("target {target} fell over: {calls} calls in the window, {budget:.1} allowed");
+                state.oracle.broken(Rule::PushedOver, fall.at, what);
+            }
+        }
+        state.tally.counts.open = state.packets.len() as u64;
+        let late =
+            |h: &hdrhistogram::Histogram<u64>| if h.is_empty() { 0 } else { h.value_at_quantile(0.99) };
+        let (load_late, receivers_late) = (late(&state.load_late), late(&state.receivers_late));
+        let tally = std::mem::replace(&mut state.tally, crate::tally::Tally::new(scenario));
+        let mut outcome = tally.close(now, scenario, Clock::Sockets, self.seed, "True");
+        outcome.broken = state.oracle.counts.iter().map(|(r, n)| (r.to_string(), *n)).collect();
+        outcome.breaks = state.oracle.breaks.clone();
+        outcome.breaks.iter_mut().for_each(|b| b.at = b.at.saturating_sub(self.begin));
+        outcome.falls = state.receivers.falls.len() as u64;
+        (outcome.load_late, outcome.receivers_late) = (load_late, receivers_late);
+        let crashes = locked(&self.crashes);
+        outcome.void = match () {
+            () if !crashes.is_empty() => Some(crashes.join("; ")),
+            () if load_late > MOST_LATE => {
+                Some(format!("the load tool was {load_late} us late at p99, {MOST_LATE} are allowed"))
+            }
+            () if receivers_late > MOST_LATE => {
+                Some(format!("the receivers were {receivers_late} us late at p99, {MOST_LATE} are allowed"))
+            }
+            () => None,
+        };
+        outcome
+    }
+
+    async fn until(&self, at: Micros) {
+        tokio::time::sleep_until(self.stage.at(self.begin + at)).await;
+    }
+
+    /// One trouble from its beginning to its end.
+    async fn trouble(self: Arc<Timeline>, number: usize) {
+        let stage = &self.stage;
+        let trouble = stage.scenario.troubles[number].clone();
+        let ends = trouble.at.0 + trouble.lasts.0;
+        let targets = stage.layout.struck(&stage.scenario, &trouble.on, self.seed, number);
+        let forwarders = Layout::struck_forwarders(&stage.scenario, &trouble.on, self.seed, number);
+        self.until(trouble.at.0).await;
+        match &trouble.what {
+            What::Killed { folder } => {
+                for forwarder in &forwarders {
+                    self.kill(*forwarder, *folder).await;
+                }
+                self.until(ends).await;
+                for forwarder in &forwarders {
+                    self.back(*forwarder).await;
+                }
+            }
+            What::Paused => {
+                for forwarder in &forwarders {
+                    stage.lock().oracle.excuse(*forwarder, Micros::MAX);
+                    self.processes[*forwarder as usize].lock().await.stop();
+                }
+                self.until(ends).await;
+                for forwarder in &forwarders {
+                    self.processes[*forwarder as usize].lock().await.go_on();
+                    let now = stage.now();
+                    stage.lock().oracle.excuse(*forwarder, now + READY);
+                }
+            }
+            What::Drain => {
+                let each = trouble.lasts.0 / targets.len().max(1) as u64;
+                for (place, target) in targets.into_iter().enumerate() {
+                    self.until(trouble.at.0 + each * place as u64).await;
+                    self.drains(target);
+                    self.until(trouble.at.0 + each * (place as u64 + 1)).await;
+                    self.replaced(target);
+                }
+            }
+            What::Stale => {
+                let mut until = locked(&self.stale_until);
+                *until = (*until).max(self.begin + ends);
+            }
+            What::Partial { missing } => {
+                self.partial(*missing);
+                self.until(ends).await;
+                self.partial(0.0);
+            }
+            what => {
+                let strike = |on| {
+                    let now = stage.now();
+                    stage.lock().receivers.strike(now, number, what, self.begin + ends, &targets, on);
+                    stage.changed.send_modify(|n| *n += 1);
+                };
+                strike(true);
+                self.until(ends).await;
+                strike(false);
+            }
+        }
+    }
+
+    async fn kill(&self, forwarder: u32, folder: bool) {
+        locked(&self.down).insert(forwarder);
+        self.doors[forwarder as usize].open.store(false, Ordering::Relaxed);
+        self.stage.lock().oracle.excuse(forwarder, Micros::MAX);
+        self.processes[forwarder as usize].lock().await.kill(folder).await;
+        let now = self.stage.now();
+        let mut state = self.stage.lock();
+        state.oracle.restarted(forwarder);
+        if !folder {
+            let lost = state.oracle.lost_with_folder(forwarder, now);
+            for packet in lost {
+                if state.packets.remove(&packet).is_some() {
+                    state.tally.counts.gone += 1;
+                }
+            }
+        }
+    }
+
+    async fn back(&self, forwarder: u32) {
+        let started = self.processes[forwarder as usize].lock().await.start().await;
+        match started {
+            Ok(()) => {
+                let now = self.stage.now();
+                self.stage.lock().oracle.excuse(forwarder, now + READY);
+                self.doors[forwarder as usize].open.store(true, Ordering::Relaxed);
+                locked(&self.down).remove(&forwarder);
+            }
+            Err(problem) => locked(&self.crashes).push(problem),
+        }
+    }
+
+    fn drains(&self, target: usize) {
+        locked(&self.standing)[target] = Phase::Terminating;
+        self.tell_all(vec![(target, self.standins[target].holder(), Phase::Terminating)]);
+    }
+
+    fn replaced(&self, target: usize) {
+        let old = self.standins[target].holder();
+        let now = self.stage.now();
+        self.stage.lock().receivers.replace(now, target);
+        self.standins[target].replaced();
+        locked(&self.standing)[target] = Phase::Ready;
+        self.tell_all(vec![(target, old, Phase::Gone), (target, old + 1, Phase::Ready)]);
+    }
+
+    /// When each agent hears what discovery tells now.
+    fn hearing(&self) -> Vec<Micros> {
+        let most = self.stage.scenario.network.list_lag.0;
+        let from = self.stage.now().max(*locked(&self.stale_until));
+        let mut lags = locked(&self.lags);
+        self.agents.iter().map(|_| from + lags.random_range(0..=most)).collect()
+    }
+
+    fn tell_all(&self, entries: Vec<Entry>) {
+        for (agent, at) in self.agents.iter().zip(self.hearing()) {
+            let (agent, entries, at) = (agent.clone(), entries.clone(), self.stage.at(at));
+            tokio::spawn(async move {
+                tokio::time::sleep_until(at).await;
+                agent.hears(&entries);
+            });
+        }
+    }
+
+    fn partial(&self, missing: f64) {
+        let standing = locked(&self.standing).clone();
+        let mut members = BTreeMap::new();
+        for (target, phase) in standing.into_iter().enumerate() {
+            if !locked(&self.lags).random_bool(missing) {
+                members.insert((target, self.standins[target].holder()), phase);
+            }
+        }
+        for (agent, at) in self.agents.iter().zip(self.hearing()) {
+            let (agent, members, at) = (agent.clone(), members.clone(), self.stage.at(at));
+            tokio::spawn(async move {
+                tokio::time::sleep_until(at).await;
+                agent.hears_whole(members);
+            });
+        }
+    }
+}
+
+/// The world alone, for a person: receivers, and an agent for one forwarder at this port. Plays the scenario's troubles once,
+/// and goes on until the process ends. Gives the addresses.
+pub async fn stand_ins(
+    scenario: &Scenario,
+    seed: u64,
+    port: u16,
+) -> Result<(SocketAddr, Vec<SocketAddr>), String> {
+    let told = |e: std::io::Error| format!("the stage could not be set: {e}");
+    let (stage, _) = Stage::new(scenario, seed, true);
+    let standins = targets::start(&stage).await.map_err(told)?;
+    let agent = Agent::start(&stage, 0, &standins, port).await.map_err(told)?;
+    let addresses = standins.iter().map(|s| s.address).collect();
+    let discovery = agent.address;
+    let timeline = Arc::new(Timeline {
+        standing: Mutex::new(vec![Phase::Ready; standins.len()]),
+        begin: stage.now(),
+        stage,
+        standins,
+        agents: vec![agent],
+        doors: Vec::new(),
+        processes: Vec::new(),
+        lags: Mutex::new(stream(seed, "lags", 0)),
+        stale_until: Mutex::new(0),
+        seed,
+        crashes: Mutex::default(),
+        down: Mutex::default(),
+    });
+    for (number, trouble) in scenario.troubles.iter().enumerate() {
+        // Nobody's process is struck here.
+        if !matches!(trouble.what, What::Killed { .. } | What::Paused) {
+            tokio::spawn(timeline.clone().trouble(number));
+        }
+    }
+    Ok((discovery, addresses))
+}
+
+/// The load of a scenario alone, at forwarders that run already. Nothing is known of what becomes of the packets there.
+pub async fn load_only(
+    scenario: &Scenario,
+    seed: u64,
+    at: &[SocketAddr],
+    mut watch: impl FnMut(Micros, Micros),
+) -> Result<Outcome, String> {
+    let (stage, agains) = Stage::new(scenario, seed, true);
+    let begin = stage.now() + 100_000;
+    let loads = Loads::new(scenario, &stage.layout, seed)?;
+    stage.lock().tally.begins(begin);
+    let doors = at.iter().map(|a| Door::new(*a)).collect();
+    let load = tokio::spawn(clients::run(stage.clone(), doors, loads, agains, begin));
+    let ends = begin + scenario.lasts.0 + 1_000_000;
+    while stage.now() < ends {
+        tokio::time::sleep(SWEEP).await;
+        watch(stage.now().saturating_sub(begin), ends - begin);
+    }
+    load.abort();
+    let mut state = stage.lock();
+    let now = stage.now();
+    let late = if state.load_late.is_empty() { 0 } else { state.load_late.value_at_quantile(0.99) };
+    let tally = std::mem::replace(&mut state.tally, crate::tally::Tally::new(scenario));
+    let mut outcome = tally.close(now, scenario, Clock::Sockets, seed, "load alone");
+    outcome.load_late = late;
+    outcome.void = (late > MOST_LATE).then(|| format!("the load tool was {late} us late at p99"));
+    Ok(outcome)
+}
+
+/// Where a forwarder's program lies if nobody says: beside this one.
+pub fn program_beside() -> PathBuf {
+    let here = std::env::current_exe().unwrap_or_default();
+    here.parent().unwrap_or(Path::new(".")).join("opalpulley-forwarder")
+}
--- /dev/null
+++ b/crates/lab/src/sockets/wire.rs
@@ -0,0 +1,138 @@
+//! HTTP/1.1 as the stand-ins read and write it: by hand where it must be spoilt on purpose, its heads read by `httparse`.
+
+use std::io;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const MOST_HEAD: usize = 64 * 1024;
+const MOST_HEADERS: usize = 64;
+const MOST_BODY: usize = 4 * 1024 * 1024;
+
+/// A connection with what was read ahead of it.
+pub struct Conn {
+    pub stream: TcpStream,
+    buffer: Vec<u8>,
+}
+
+/// A request or an answer: its first line in parts, its headers by name in small letters, its body.
+#[derive(Debug, Default)]
+pub struct Message {
+    pub method: String,
+    pub path: String,
+    pub status: u16,
+    headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+}
+
+impl Conn {
+    pub fn new(stream: TcpStream) -> Conn {
+        let _ = stream.set_nodelay(true); // without it an answer may be late, no more
+        Conn { stream, buffer: Vec::with_capacity(2048) }
+    }
+
+    /// The next request; nothing at the end of the connection.
+    pub async fn request(&mut self) -> io::Result<Option<Message>> {
+        self.message(true).await
+    }
+
+    /// The next answer.
+    pub async fn answer(&mut self) -> io::Result<Message> {
+        self.message(false).await?.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
+    }
+
+    async fn message(&mut self, request: bool) -> io::Result<Option<Message>> {
+        loop {
+            if let Some((message, head, length)) = self.head(request)? {
+                if length > MOST_BODY {
+                    return Err(io::Error::new(io::ErrorKind::InvalidData, "the body is too long"));
+                }
+                while self.buffer.len() < head + length {
+                    if self.stream.read_buf(&mut self.buffer).await? == 0 {
+                        return Err(io::ErrorKind::UnexpectedEof.into());
+                    }
+                }
+                let body = self.buffer[head..head + length].to_vec();
+                self.buffer.drain(..head + length);
+                return Ok(Some(Message { body, ..message }));
+            }
+            if self.buffer.len() > MOST_HEAD {
+                return Err(io::Error::new(io::ErrorKind::InvalidData, "the head is too long"));
+            }
+            if self.stream.read_buf(&mut self.buffer).await? == 0 {
+                return if self.buffer.is_empty() {
+                    Ok(None)
+                } else {
+                    Err(io::ErrorKind::UnexpectedEof.into())
+                };
+            }
+        }
+    }
+
+    /// A head that is whole, its length, and that of the body behind it.
+    fn head(&self, request: bool) -> io::Result<Option<(Message, usize, usize)>> {
+        let bad = |e: httparse::Error| io::Error::new(io::ErrorKind::InvalidData, e.to_string());
+        let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+        let mut message = Message::default();
+        let (status, headers) = if request {
+            let mut parsed = httparse::Request::new(&mut headers);
+            let status = parsed.parse(&self.buffer).map_err(bad)?;
+            message.method = parsed.method.unwrap_or("").into();
+            message.path = parsed.path.unwrap_or("").into();
+            (status, parsed.headers)
+        } else {
+            let mut parsed = httparse::Response::new(&mut headers);
+            let status = parsed.parse(&self.buffer).map_err(bad)?;
+            message.status = parsed.code.unwrap_or(0);
+            (status, parsed.headers)
+        };
+        let httparse::Status::Complete(head) = status else { return Ok(None) };
+        for h in headers.iter() {
+            message
+                .headers
+                .push((h.name.to_ascii_lowercase(), String::from_utf8_lossy(h.value).into_owned()));
+        }
+        let length = message.header("content-length").map_or(Ok(0), str::parse);
+        let length =
+            length.map_err(|_| io::Error::new(io::ErrorKind::InvalidData, "the length is no number"))?;
+        Ok(Some((message, head, length)))
+    }
+
+    pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes).await
+    }
+
+    pub async fn reply(&mut self, status: &str, more: &str, body: &str) -> io::Result<()> {
+        let text = format!("HTTP/1.1 {status}\r\n{more}Content-Length: {}\r\n\r\n{body}", body.len());
+        self.write(text.as_bytes()).await
+    }
+
+    /// Waits until the other side has closed. What it sends meanwhile stays in the buffer.
+    pub async fn closed(&mut self) {
+        loop {
+            match self.stream.read_buf(&mut self.buffer).await {
+                Ok(0) | Err(_) => return,
+                Ok(_) if self.buffer.len() > MOST_HEAD => return,
+                Ok(_) => {}
+            }
+        }
+    }
+
+    /// Closes with a reset.
+    pub fn reset(self) {
+        let _ = socket2::SockRef::from(&self.stream).set_linger(Some(std::time::Duration::ZERO));
+    }
+}
+
+/// A listener on an address that may just have been closed.
+pub fn listen(address: std::net::SocketAddr) -> io::Result<tokio::net::TcpListener> {
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(1024)
+}
--- a/crates/lab/src/subject.rs
+++ b/crates/lab/src/subject.rs
@@ -44,6 +44,13 @@
     SendsTwice,
 }
 
+impl std::fmt::Display for Make {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let name = clap::ValueEnum::to_possible_value(self);
+        f.write_str(name.as_ref().map_or("true", |n| n.get_name()))
+    }
+}
+
 impl Make {
     /// Those that the oracle must catch, each with the rule that it breaks.
     pub const BROKEN: [(Make, &'static str); 9] = [
--- a/crates/lab/src/tally.rs
+++ b/crates/lab/src/tally.rs
@@ -166,6 +166,7 @@
     latencies: Histogram<u64>,
     column_latencies: Histogram<u64>,
     column: Micros,
+    begin: Micros,
     columns: Vec<Column>,
     worth: f64,
     worth_due: f64,
@@ -194,6 +195,7 @@
             latencies: histogram(),
             column_latencies: histogram(),
             column: (whole / COLUMNS).max(100_000),
+            begin: 0,
             columns: vec![Column::default()],
             worth: 0.0,
             worth_due: 0.0,
@@ -207,7 +209,13 @@
         }
     }
 
+    /// The run's first µs, where the clock does not begin with it.
+    pub fn begins(&mut self, at: Micros) {
+        self.begin = at;
+    }
+
     fn at(&mut self, now: Micros) -> &mut Column {
+        let now = now.saturating_sub(self.begin);
         while now >= self.columns.len() as u64 * self.column {
             let last = self.columns.len() - 1;
             if !self.column_latencies.is_empty() {
