--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -174,6 +174,9 @@
     /// A folder for the forwarders' logs
     #[arg(long)]
     logs: Option<PathBuf>,
+    /// Binds the forwarders to this core
+    #[arg(long)]
+    pin: Option<usize>,
 }
 
 #[derive(Args, Clone)]
@@ -262,7 +265,7 @@
         if let Some(logs) = &clocks.logs {
             std::fs::create_dir_all(logs).map_err(|e| Fault(format!("{}: {e}", logs.display()), 2))?;
         }
-        let means = Means { program, logs: clocks.logs.clone() };
+        let means = Means { program, logs: clocks.logs.clone(), pin: clocks.pin };
         let bar = bar(&scenario.name);
         let (outcome, usage) = runtime()?.block_on(run(scenario, seed, &means, watch(&bar)))?;
         bar.finish_and_clear();
@@ -501,7 +504,7 @@
 
     fn on_sockets(&self, seed: u64) -> Result<Outcome, Fault> {
         let program = self.forwarder.clone().unwrap_or_else(program_beside);
-        let means = Means { program, logs: None };
+        let means = Means { program, logs: None, pin: None };
         Ok(runtime()?.block_on(run(&self.scenario, seed, &means, |_, _| {}))?.0)
     }
 }
--- a/crates/lab/src/oracle/tests.rs
+++ b/crates/lab/src/oracle/tests.rs
@@ -199,3 +199,19 @@
     o.sweep(60_000_000);
     assert!(names(&o).is_empty() && o.open() == 0);
 }
+
+#[test]
+fn one_that_was_served_while_its_forwarder_was_down_may_be_ended_once_more() {
+    for (down, broken) in [(true, 0), (false, 1)] {
+        let mut o = oracle();
+        hand_in(&mut o, 1, 1, None);
+        send(&mut o, 1, 0);
+        o.excuse(0, if down { 1_000_000 } else { 0 });
+        o.over(1, 0, 0, Ran::Perhaps);
+        o.ended(1, Final::Served, 500_000);
+        o.ended(1, Final::WrittenOff, 2_000_000);
+        assert_eq!(o.counts.len(), broken);
+        o.ended(1, Final::WrittenOff, 3_000_000);
+        assert_eq!(names(&o), [Rule::SecondFinalAnswer], "not twice more");
+    }
+}
--- a/crates/lab/src/sockets/processes.rs
+++ b/crates/lab/src/sockets/processes.rs
@@ -22,6 +22,7 @@
     seed: u64,
     life: u64,
     child: Option<Child>,
+    pin: Option<usize>,
     log: Option<PathBuf>,
 }
 
@@ -36,6 +37,7 @@
         scenario: &Scenario,
         seed: u64,
         log: Option<&Path>,
+        pin: Option<usize>,
     ) -> Process {
         Process {
             program: program.into(),
@@ -47,6 +49,7 @@
             seed,
             life: 0,
             child: None,
+            pin,
             log: log.map(|l| l.join(format!("forwarder-{number}.log"))),
         }
     }
@@ -68,7 +71,15 @@
             }
             None => Stdio::null(),
         };
-        let child = Command::new(&self.program)
+        let mut command = match self.pin {
+            Some(core) => {
+                let mut command = Command::new("taskset");
+                command.arg("-c").arg(core.to_string()).arg(&self.program);
+                command
+            }
+            None => Command::new(&self.program),
+        };
+        let child = command
             .env("GW_CONFIG", &papers)
             .env("GW_STATE", &state)
             .stdin(Stdio::null())
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,9 +1,10 @@
 //! The decision core of opalpulley: a dispatcher of notifications to outside receivers.
 //!
-//! [`rules`] holds every decision, [`interface`] the plain data that goes in and out. Neither knows of any
+//! [`rules`] holds every decision (`line` keeps the order of those that wait and decides nothing), [`interface`] the plain data that goes in and out. Neither knows of any
 //! wire: a front end translates its protocol into [`interface::Event`]s and carries out the [`interface::Action`]s.
 
 pub mod interface;
+mod line;
 pub mod rules;
 
 pub use interface::*;
--- /dev/null
+++ b/src/line.rs
@@ -0,0 +1,223 @@
+//! The line of a destination: packets that wait there, ordered so that looking for the next costs little however many wait.
+//! It decides nothing. Packets that are alike in all that decides what is lost by waiting, but for when they were due, form
+//! a rank, ordered by that time. Within a rank the loss is a smooth curve of the due time between a few cuts, and rises or
+//! falls all the way from one cut to the next: the greatest and the least of each piece stand at its ends. So whoever looks
+//! for the best of a rank needs to weigh two packets a piece, not all (`Line::ends`).
+//!
+//! Invariant: a packet that waits is in `expiring`; it is in its rank as well once it is its turn and its rest is over, in
+//! `resting` while only the rest is missing. It leaves all of them as it leaves the line.
+
+use crate::interface::{Micros, PacketId};
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::RangeInclusive;
+
+/// In a rank of so many a look at each is cheaper than looking for the ends.
+const FEW: usize = 16;
+
+/// What packets of one rank have in common.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    pub profile: usize,
+    /// The bits of what one is worth.
+    pub worth: u64,
+    /// From when it is due to when it expires, µs.
+    pub span: i64,
+    /// From when it is due to when it can be sent last, µs.
+    pub last: i64,
+    /// The zone in which it may have run, where only that one may have it again.
+    pub zone: Option<u16>,
+}
+
+/// One packet as the line sees it. It must not change while the packet waits, but for `turn`.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Entry {
+    pub id: PacketId,
+    pub rank: Rank,
+    pub due: Micros,
+    /// When it can be sent last.
+    pub last_send: Micros,
+    pub ready_at: Micros,
+    pub turn: bool,
+}
+
+pub type Ranked = BTreeSet<(Micros, PacketId)>;
+
+#[derive(Debug, Default)]
+pub struct Line {
+    ranks: BTreeMap<Rank, Ranked>,          // emptied of ranks without packets
+    resting: BTreeSet<(Micros, PacketId)>,  // by the end of their rest
+    expiring: BTreeSet<(Micros, PacketId)>, // all that wait, by when they can be sent last
+}
+
+impl Line {
+    pub fn len(&self) -> usize {
+        self.expiring.len()
+    }
+
+    /// A packet begins to wait.
+    pub fn join(&mut self, entry: &Entry) {
+        self.expiring.insert((entry.last_send, entry.id));
+        if entry.turn {
+            self.resting.insert((entry.ready_at, entry.id));
+        }
+    }
+
+    /// It is the packet's turn: from now on `entry.turn` holds.
+    pub fn turn(&mut self, entry: &Entry) {
+        if self.expiring.contains(&(entry.last_send, entry.id)) && !self.ranked(entry) {
+            self.resting.insert((entry.ready_at, entry.id));
+        }
+    }
+
+    fn ranked(&self, entry: &Entry) -> bool {
+        self.ranks.get(&entry.rank).is_some_and(|r| r.contains(&(entry.due, entry.id)))
+    }
+
+    /// A packet waits no more. One that did not wait changes nothing.
+    pub fn leave(&mut self, entry: &Entry) {
+        self.expiring.remove(&(entry.last_send, entry.id));
+        self.resting.remove(&(entry.ready_at, entry.id));
+        if let Some(rank) = self.ranks.get_mut(&entry.rank) {
+            rank.remove(&(entry.due, entry.id));
+            if rank.is_empty() {
+                self.ranks.remove(&entry.rank);
+            }
+        }
+    }
+
+    /// Those whose rest is over by now go to their ranks.
+    pub fn wake(&mut self, now: Micros, entry: impl Fn(PacketId) -> Option<Entry>) {
+        while let Some((_, id)) = self.resting.first().copied().filter(|(at, _)| *at <= now) {
+            self.resting.pop_first();
+            if let Some(Entry { rank, due, .. }) = entry(id) {
+                self.ranks.entry(rank).or_default().insert((due, id));
+            }
+        }
+    }
+
+    pub fn ranks(&self) -> impl Iterator<Item = (&Rank, &Ranked)> {
+        self.ranks.iter()
+    }
+
+    /// All that can't be sent any more from this time on, in the order of their ids.
+    pub fn expiring_by(&self, time: Micros) -> Vec<PacketId> {
+        let mut ids: Vec<PacketId> =
+            self.expiring.range(..=(time, PacketId(u32::MAX))).map(|(_, id)| *id).collect();
+        ids.sort_unstable();
+        ids
+    }
+
+    /// Of a rank, those due within a span: for each piece between the cuts the first (of the earliest due the least id) and
+    /// that of the latest due with the least id. A cut is the last time of its piece. Of a few, all.
+    pub fn ends(
+        ranked: &Ranked,
+        due: RangeInclusive<i64>,
+        cuts: impl Fn() -> Vec<i64>,
+        ends: &mut Vec<PacketId>,
+    ) {
+        let (Ok(to), from) = (u64::try_from(*due.end()), u64::try_from(*due.start()).unwrap_or(0)) else {
+            return;
+        };
+        if from > to {
+            return;
+        }
+        let last = (to, PacketId(u32::MAX));
+        if ranked.len() <= FEW {
+            return ends.extend(ranked.range((from, PacketId(0))..=last).map(|(_, id)| *id));
+        }
+        let mut cuts: Vec<u64> = cuts()
+            .into_iter()
+            .filter_map(|c| u64::try_from(c).ok())
+            .filter(|c| (from..to).contains(c))
+            .collect();
+        cuts.sort_unstable();
+        let mut next = ranked.range((from, PacketId(0))..=last).next();
+        while let Some(&(due, id)) = next {
+            ends.push(id);
+            let piece = cuts.get(cuts.partition_point(|c| *c < due)).copied().unwrap_or(to);
+            let until = (piece, PacketId(u32::MAX));
+            if let Some(&(latest, _)) = ranked.range((due, id)..=until).next_back().filter(|(d, _)| *d > due)
+            {
+                ends.extend(ranked.range((latest, PacketId(0))..).next().map(|(_, id)| *id));
+            }
+            next = match piece < to {
+                true => ranked.range((piece + 1, PacketId(0))..=last).next(),
+                false => None,
+            };
+        }
+    }
+}
+
+impl Rank {
+    /// Due times at which the loss turns: where one of the looks ahead (µs from now) finds a packet due, at its late share,
+    /// expired, or too late to be sent. `fade` is how long after its due time the worth falls, µs. A turn lies between two
+    /// times; what rounding may have moved stands in pieces of its own.
+    pub fn cuts(&self, now: f64, answer_time: f64, looks: [f64; 4], fade: f64) -> Vec<i64> {
+        let turns = looks.iter().flat_map(|t| {
+            let answered = now + t + answer_time;
+            [answered, answered - fade, answered - self.span as f64, now + t - self.last as f64]
+        });
+        turns.flat_map(|turn| [-1, 0, 1].map(|near| turn.floor() as i64 + near)).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use quickcheck::{quickcheck, TestResult};
+
+    /// A curve that rises or falls from cut to cut, in whole numbers: its steps at the cuts are drawn, too.
+    fn value(due: u64, cuts: &[i64], steps: &[i8]) -> i64 {
+        let piece = cuts.iter().filter(|c| **c < due as i64).count();
+        let slope = i64::from(steps.get(piece).copied().unwrap_or(1));
+        slope * due as i64 + slope * 1000
+    }
+
+    quickcheck! {
+        fn the_best_of_the_ends_is_the_best_of_all(dues: Vec<u8>, cuts: Vec<u8>, steps: Vec<i8>, from: u8, to: u8) -> TestResult {
+            let mut line = Line::default();
+            let entry = |(n, due): (usize, &u8)| {
+                let (id, due) = (PacketId(n as u32), u64::from(*due));
+                Entry { id, due, last_send: 1000, turn: true, ..Entry::default() }
+            };
+            let entries: Vec<Entry> = dues.iter().enumerate().map(entry).collect();
+            entries.iter().for_each(|e| line.join(e));
+            line.wake(0, |id| entries.get(id.0 as usize).copied());
+            let mut cuts: Vec<i64> = cuts.into_iter().map(i64::from).collect();
+            cuts.sort_unstable();
+            let (from, to) = (i64::from(from.min(to)), i64::from(from.max(to)));
+            let Some((_, ranked)) = line.ranks().next() else { return TestResult::discard() };
+            let best = |ids: Vec<PacketId>| {
+                let of = |id: PacketId| entries[id.0 as usize].due;
+                let order = |id: &PacketId| (value(of(*id), &cuts, &steps), std::cmp::Reverse((of(*id), *id)));
+                ids.into_iter().max_by_key(order)
+            };
+            let within = |e: &&Entry| (from..=to).contains(&(e.due as i64));
+            let all = entries.iter().filter(within).map(|e| e.id).collect();
+            let mut ends = Vec::new();
+            Line::ends(ranked, from..=to, || cuts.clone(), &mut ends);
+            TestResult::from_bool(best(all) == best(ends))
+        }
+    }
+
+    #[test]
+    fn what_leaves_is_in_none_of_its_tables() {
+        let mut line = Line::default();
+        let entry = |n: u32| Entry {
+            id: PacketId(n),
+            last_send: u64::from(n),
+            ready_at: u64::from(n % 7),
+            turn: n.is_multiple_of(2),
+            ..Entry::default()
+        };
+        (0..50).for_each(|n| line.join(&entry(n)));
+        line.wake(3, |id| Some(entry(id.0)));
+        assert_eq!((line.len(), line.expiring_by(9).len()), (50, 10));
+        line.turn(&Entry { turn: true, ..entry(7) });
+        (0..50).for_each(|n| line.leave(&Entry { turn: true, ..entry(n) }));
+        assert!(line.len() == 0 && line.ranks.is_empty() && line.resting.is_empty(), "{line:?}");
+        line.leave(&entry(3));
+        line.turn(&entry(3));
+        assert!(line.resting.is_empty(), "it does not wait");
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,6 +6,7 @@
 //! for each part and `Forwarder::settle` empties them until none holds a note.
 
 use crate::interface::*;
+use crate::line::{Entry, Line, Rank};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -167,17 +168,32 @@
         }
     }
 
+    fn entry(&self, terms: &TermsOfCarriage) -> Entry {
+        let (last_send, row) = (self.last_send(terms), &terms.profiles[self.profile]);
+        let bound = matches!(row.effect, Effect::Fingerprinted { group: RepeatGroup::Zone, .. });
+        let zone = self.exposed.map(|(_, zone)| zone).filter(|_| bound);
+        let [span, last] = [self.expires, last_send].map(|t| t as i64 - self.due as i64);
+        let rank = Rank { profile: self.profile, worth: self.worth.to_bits(), span, last, zone };
+        Entry { id: self.id, rank, due: self.due, last_send, ready_at: self.ready_at, turn: self.turn }
+    }
+
     /// µs that its trip may take: each takes twice the time of the one before, for some packets are heavy.
     fn patience(&self, card: &Card) -> f64 {
         card.trip_time * f64::from(1u32 << self.trips.saturating_sub(1).min(8))
     }
 
+    /// How far ahead the loss is looked at: now, and on the scale of the shortest contract time.
+    fn ahead(terms: &TermsOfCarriage) -> [f64; 4] {
+        let ahead = terms.profiles.iter().map(|r| r.contract_time).min().unwrap_or(0) as f64;
+        [0.0, ahead / 4.0, ahead, 3.0 * ahead]
+    }
+
     /// What is lost by sending it somewhat later, on the scale of the shortest contract time.
     fn loss(&self, now: Micros, answer_time: f64, terms: &TermsOfCarriage) -> f64 {
-        let ahead = terms.profiles.iter().map(|r| r.contract_time).min().unwrap_or(0) as f64;
         let (now, last) = (now as f64, self.last_send(terms) as f64);
         let at = |t| if now + t < last { self.worth_at(now + t + answer_time, terms) } else { 0.0 };
-        at(0.0) - (at(ahead / 4.0) + at(ahead) + at(3.0 * ahead)) / 3.0
+        let [first, soon, later, late] = Packet::ahead(terms).map(at);
+        first - (soon + later + late) / 3.0
     }
 }
 
@@ -276,6 +292,8 @@
     cards: BTreeMap<TargetId, Card>, // a card a target; emptied as targets go
     gates: BTreeMap<Option<TargetId>, Gate>, // by route where apart; emptied as targets go and holds end
     packets: BTreeMap<PacketId, Packet>, // packets waiting or out; each leaves with its final answer
+    line: Line,                      // those of them that wait
+    out: BTreeSet<PacketId>,         // the others
     pick: Option<TargetId>,
 }
 
@@ -283,13 +301,18 @@
     fn read(&mut self, note: ToDestination, desk: &mut Desk) {
         match note {
             ToDestination::Take(packet) => {
+                self.line.join(&packet.entry(desk.terms));
                 self.packets.insert(packet.id, packet);
                 self.tick(1.0, LONE, desk); // at once: it may have less time than the next look takes
             }
-            ToDestination::Turn(id) => _ = self.packets.entry(id).and_modify(|p| p.turn = true),
+            ToDestination::Turn(id) => self.packets.get_mut(&id).into_iter().for_each(|packet| {
+                packet.turn = true;
+                self.line.turn(&packet.entry(desk.terms));
+            }),
             ToDestination::Over { id, target, outcome, took, closed } => {
                 let out = self.packets.get_mut(&id).and_then(|p| p.out.take_if(|o| o.0 == target));
                 let Some((_, sent)) = out else { return };
+                self.out.remove(&id);
                 self.packets.entry(id).and_modify(|p| p.over |= closed);
                 desk.post.targets.push_back((target, ToTarget::Over { sent, outcome, took }));
                 self.trip_over(id, (target, sent), outcome, desk);
@@ -321,13 +344,13 @@
         let state = (!still).then(|| State {
             calls: self.cards.values().map(|c| c.calls).sum(),
             troubled: self.troubled(),
-            waiting: self.line().count(),
+            waiting: self.line.len(),
         });
         desk.tell(ToForwarder::State { destination: self.id, state });
     }
 
-    fn line(&self) -> impl Iterator<Item = &Packet> {
-        self.packets.values().filter(|p| p.out.is_none())
+    fn waiting(&self, ids: Vec<PacketId>) -> impl Iterator<Item = &Packet> {
+        ids.into_iter().filter_map(|id| self.packets.get(&id))
     }
 
     fn held(&self) -> Micros {
@@ -339,7 +362,10 @@
     }
 
     fn end(&mut self, id: PacketId, answer: Option<Action>, desk: &mut Desk) {
-        self.packets.remove(&id);
+        self.out.remove(&id);
+        if let Some(packet) = self.packets.remove(&id) {
+            self.line.leave(&packet.entry(desk.terms));
+        }
         if let Some(answer) = answer {
             desk.tell(ToForwarder::Do(answer));
         }
@@ -374,7 +400,9 @@
         let wait = (BASE_WAIT << packet.trips.saturating_sub(1).min(20)).min(longest);
         // Guards against clumps that come due together: chance spreads them, and the waits still grow.
         packet.ready_at = desk.now + wait + (wait as f64 * JITTER * desk.rng.random::<f64>()) as Micros;
-        if packet.ready_at >= packet.last_send(desk.terms) {
+        let entry = packet.entry(desk.terms);
+        self.line.join(&entry);
+        if entry.ready_at >= entry.last_send {
             self.end(id, Some(Action::WriteOff { id }), desk);
         }
     }
@@ -399,15 +427,18 @@
             let nowhere = self.cards.is_empty() && p.due <= desk.now;
             nowhere || held >= p.expires || desk.now + 2 * TICK >= p.last_send(desk.terms)
         };
-        let over: Vec<PacketId> = self.line().filter(over).map(|p| p.id).collect();
+        let by = if self.cards.is_empty() { Micros::MAX } else { held.max(desk.now + 2 * TICK) };
+        let over: Vec<PacketId> =
+            self.waiting(self.line.expiring_by(by)).filter(over).map(|p| p.id).collect();
         over.into_iter().for_each(|id| self.give_up(id, desk));
     }
 
     /// Guards against trips that get lost on the way; where nothing is answered they go on for longer.
     fn call_off(&mut self, patiences: f64, desk: &mut Desk) {
         let may = desk.terms.may_call_off;
-        for packet in self.packets.values_mut().filter(|p| may && !p.called_off && !p.over) {
-            let Some((target, sent)) = packet.out else { continue };
+        for id in self.out.iter().filter(|_| may) {
+            let packet = self.packets.get_mut(id).filter(|p| !p.called_off && !p.over);
+            let Some((packet, (target, sent))) = packet.and_then(|p| p.out.map(|o| (p, o))) else { continue };
             let Some(card) = self.cards.get(&target) else { continue };
             let late = (desk.now - sent) as f64 / packet.patience(card);
             let binding = desk.row(packet.profile).effect == Effect::Binding;
@@ -433,25 +464,25 @@
 
     fn shed(&mut self, desk: &mut Desk) {
         let worth = |p: &Packet| p.worth_at(desk.now as f64, desk.terms);
-        let least = self.line().min_by(|a, b| worth(a).total_cmp(&worth(b)).then(b.due.cmp(&a.due)));
+        let all = self.waiting(self.line.expiring_by(Micros::MAX));
+        let least = all.min_by(|a, b| worth(a).total_cmp(&worth(b)).then(b.due.cmp(&a.due)));
         least.map(|p| p.id).into_iter().for_each(|id| self.give_up(id, desk));
     }
 
     /// The packet that a target should get next, and what is lost by leaving it.
     fn next_for(&self, card: &Card, desk: &Desk) -> Option<(PacketId, f64)> {
-        self.line()
-            .filter(|p| {
-                let row = desk.row(p.profile);
-                let reach = match (row.effect, p.exposed) {
-                    (Effect::Fingerprinted { group: RepeatGroup::Zone, .. }, Some((_, zone))) => {
-                        zone == card.zone
-                    }
-                    // Guards binding packets against targets that lose what they take, while time remains.
-                    (Effect::Binding, _) => !card.troubled || desk.now + row.expiry / 4 > p.expires,
-                    _ => true,
-                };
-                reach && p.turn && p.ready_at <= desk.now && desk.now + 2 * TICK < p.last_send(desk.terms)
-            })
+        let mut ids = Vec::new();
+        for (rank, ranked) in self.line.ranks().filter(|(r, _)| r.zone.is_none_or(|zone| zone == card.zone)) {
+            let row = desk.row(rank.profile);
+            // Guards binding packets against targets that lose what they take, while time remains.
+            let late = desk.now as i64 + (row.expiry / 4) as i64 - rank.span;
+            let to = if row.effect == Effect::Binding && card.troubled { late - 1 } else { i64::MAX };
+            let from = (desk.now + 2 * TICK) as i64 - rank.last + 1;
+            let fade = -row.late_share.max(f64::MIN_POSITIVE).log2() * row.contract_time as f64;
+            let cuts = || rank.cuts(desk.now as f64, card.answer_time, Packet::ahead(desk.terms), fade);
+            Line::ends(ranked, from..=to, cuts, &mut ids);
+        }
+        self.waiting(ids)
             .map(|p| (p, p.loss(desk.now, card.answer_time, desk.terms)))
             .max_by(|(a, x), (b, y)| x.total_cmp(y).then(b.due.cmp(&a.due)).then(b.id.cmp(&a.id)))
             .map(|(p, loss)| (p.id, loss))
@@ -459,6 +490,7 @@
 
     fn bid(&mut self, desk: &mut Desk) {
         self.pick = None;
+        self.line.wake(desk.now, |id| self.packets.get(&id).map(|p| p.entry(desk.terms)));
         let share = if self.troubled() { CAP_TROUBLED } else { CAP_WELL };
         let cap = ((share * f64::from(desk.terms.slots)) as usize).max(1);
         if self.cards.values().map(|c| c.calls).sum::<usize>() >= cap {
@@ -495,6 +527,8 @@
         for _ in 0..self.per_call {
             let Some((id, _)) = self.next_for(&card, desk) else { break };
             let Some(packet) = self.packets.get_mut(&id) else { break };
+            self.line.leave(&packet.entry(desk.terms));
+            self.out.insert(id);
             packet.trips += 1;
             packet.out = Some((target, desk.now));
             packet.called_off = false;
