--- a/crates/forwarder/tests/program.rs
+++ b/crates/forwarder/tests/program.rs
@@ -1,230 +1,23 @@
-//! The whole program between stand-ins on loopback: a platform, targets and clients, each a few lines.
+//! The whole program between the laboratory's stand-ins on loopback: scripted peers, and scenarios on both clocks.
 
+use opalpulley_lab::scripted::{self, *};
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Mutex};
+use std::process::{Command, Stdio};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
-use tempfile::TempDir;
 
-const PATIENCE: Duration = Duration::from_secs(10);
-
-/// One message as it came: first line, headers by name in small letters, body.
-#[derive(Clone, Debug, Default)]
-struct Message {
-    first: String,
-    headers: BTreeMap<String, String>,
-    body: Vec<u8>,
-}
-
-/// Reads one message; nothing at the end of the connection.
-fn read_message(stream: &mut TcpStream) -> Option<Message> {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        let mut byte = [0];
-        match stream.read(&mut byte) {
-            Ok(1) => head.push(byte[0]),
-            _ => return None,
-        }
-    }
-    let text = String::from_utf8(head).expect("a head is text");
-    let mut lines = text.lines();
-    let first = lines.next()?.to_owned();
-    let headers: BTreeMap<String, String> =
-        lines.filter_map(|l| l.split_once(": ")).map(|(n, v)| (n.to_lowercase(), v.to_owned())).collect();
-    let length = headers.get("content-length").map_or(0, |l| l.parse().expect("a length"));
-    let mut body = vec![0; length];
-    stream.read_exact(&mut body).ok()?;
-    Some(Message { first, headers, body })
-}
-
-type Log = Arc<Mutex<Vec<Message>>>;
-
-/// A server that logs what comes and answers as told; no answer leaves the call hanging.
-fn serve(answer: impl Fn(&Message, usize) -> Option<String> + Send + Sync + 'static) -> (SocketAddr, Log) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("its address");
-    let (log, answer) = (Log::default(), Arc::new(answer));
-    let seen = log.clone();
-    thread::spawn(move || {
-        for stream in listener.incoming() {
-            let (mut stream, seen, answer) = (stream.expect("a connection"), seen.clone(), answer.clone());
-            thread::spawn(move || {
-                while let Some(message) = read_message(&mut stream) {
-                    let before = {
-                        let mut seen = seen.lock().expect("the log");
-                        seen.push(message.clone());
-                        seen.len() - 1
-                    };
-                    match answer(&message, before) {
-                        Some(text) => stream.write_all(text.as_bytes()).expect("answered"),
-                        None => _ = stream.read(&mut [0]), // until the other side gives up
-                    }
-                }
-            });
-        }
-    });
-    (address, log)
-}
-
-fn plain(status: &str) -> Option<String> {
-    Some(format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n"))
-}
-
-fn with_body(body: &str) -> Option<String> {
-    Some(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
-}
-
-fn member(target: SocketAddr, cell: u16, phase: &str) -> String {
-    format!(
-        r#"{{"id":"s-{}","host_port":"{target}","locality":"a","flavor":"m","cell":{cell},"phase":"{phase}","size":50.0,"up_since_ms":0}}"#,
-        target.port()
-    )
-}
-
-fn list(revision: u64, complete: bool, members: &[String]) -> String {
-    format!(r#"{{"revision":{revision},"complete":{complete},"members":[{}]}}"#, members.join(","))
-}
-
-/// A platform: its list, changes to be told to the next watches, and the notices that it gets.
-struct Platform {
-    address: SocketAddr,
-    notices: Log,
-    changes: Arc<Mutex<Vec<String>>>,
-}
-
-/// `deaf` notices are answered with an error first.
-fn platform(members: Vec<String>, deaf: usize) -> Platform {
-    let changes: Arc<Mutex<Vec<String>>> = Arc::default();
-    let notices = Log::default();
-    let (pending, heard) = (changes.clone(), notices.clone());
-    let (address, _) = serve(move |message, _| {
-        if message.first.starts_with("POST /v1/outcomes") {
-            let mut heard = heard.lock().expect("the notices");
-            heard.push(message.clone());
-            return plain(if heard.len() > deaf { "204 No Content" } else { "500 Oops" });
-        }
-        if !message.first.contains("index=") {
-            return with_body(&list(1, true, &members));
-        }
-        let begun = Instant::now();
-        while begun.elapsed() < Duration::from_millis(300) {
-            if let Some(change) = pending.lock().expect("the changes").pop() {
-                return with_body(&change);
-            }
-            thread::sleep(Duration::from_millis(5));
-        }
-        with_body(&list(1, false, &[]))
-    });
-    Platform { address, notices, changes }
-}
-
-struct Forwarder {
-    child: Child,
-    listen: SocketAddr,
-}
-
-impl Drop for Forwarder {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-fn config(profile: &str, effect: &str, sockets: usize, disk_mb: f64) -> String {
-    format!(
-        r#"{{"name":"n0","seed":"8c1f30d27a5be964","limits":{{"memory_mb":192,"sockets":{sockets},"disk_mb":{disk_mb}}},
-        "settings":{{"Azs":["a"],"Balancers":1,"Me":0,"HostTypes":["m"],"QuantumUs":5000,"Weights":"nominal",
-        "Domain":{{"Fades":"halving","Workers":8,"PerCall":[1],"RoutesApart":[false]}},
-        "Limits":{{"Cancelling":true,"ConnIdleUs":5000000,"ConnectTimeoutUs":1000000,"MaxAttempts":6,"MaxOpen":400,
-            "MaxRetryAfterUs":2000000,"Probing":true,"RetryAfter":true}},
-        "Profiles":[{{"Name":"{profile}","Effect":"{effect}","DedupWindowUs":15000000,"GoalTimeUs":2500000,
-            "HardLimitUs":28000000,"LateShare":0.5,"Points":1.0}}],
-        "Rules":{{"AnswerSlackUs":20000,"ColdFrom":0.2,"DrainGraceUs":500000,"FallMultiple":2.0,
-            "OverloadForUs":2000000,"WarmAfterUs":10000000}}}}}}"#
-    )
-}
-
-fn command(state: &Path, text: &str, listen: &str, discovery: SocketAddr) -> Command {
-    let papers = state.parent().expect("a folder round it").join("config.json");
-    std::fs::write(&papers, text).expect("the papers are written");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_opalpulley-forwarder"));
-    command
-        .env("GW_CONFIG", papers)
-        .env("GW_STATE", state)
-        .env("GW_LISTEN", listen)
-        .env("GW_DISCOVERY", discovery.to_string())
-        .stderr(if std::env::var("SHOW").is_ok() { Stdio::inherit() } else { Stdio::null() });
-    command
-}
-
-fn folder() -> (TempDir, std::path::PathBuf) {
-    let dir = TempDir::new().expect("a folder");
-    let state = dir.path().join("state");
-    std::fs::create_dir(&state).expect("a folder in it");
-    (dir, state)
-}
+const PROGRAM: &str = env!("CARGO_BIN_EXE_opalpulley-forwarder");
 
 fn start(state: &Path, text: &str, discovery: SocketAddr) -> Forwarder {
-    let free = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let listen = free.local_addr().expect("its address");
-    drop(free);
-    let child = command(state, text, &listen.to_string(), discovery).spawn().expect("the program starts");
-    let forwarder = Forwarder { child, listen };
-    until("it is up", || forwarder.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n", b"") == 200);
-    forwarder
+    scripted::start(PROGRAM, state, text, discovery)
 }
 
-fn until(what: &str, mut done: impl FnMut() -> bool) {
-    let begun = Instant::now();
-    while !done() {
-        assert!(begun.elapsed() < PATIENCE, "waited in vain until {what}");
-        thread::sleep(Duration::from_millis(5));
-    }
-}
-
-fn hand_in_head(id: &str, path: &str, length: usize) -> String {
-    format!(
-        "POST /{path} HTTP/1.1\r\nHost: x\r\nRequest-Id: {id}\r\nRequest-Class: {path}\r\n\
-         Request-Timeout-Ms: 20000\r\nIdempotency-Key: k-{id}\r\nEnvelope: dest=7\r\nContent-Length: {length}\r\n\r\n"
-    )
-}
-
-impl Forwarder {
-    fn connect(&self) -> std::io::Result<TcpStream> {
-        let stream = TcpStream::connect(self.listen)?;
-        stream.set_read_timeout(Some(PATIENCE))?;
-        Ok(stream)
-    }
-
-    /// The status of one request on a connection of its own; 0 where none came.
-    fn ask(&self, head: &str, body: &[u8]) -> u16 {
-        let Ok(mut stream) = self.connect() else { return 0 };
-        // A server that has seen enough may close while the rest is written.
-        let _ = stream.write_all(&[head.as_bytes(), body].concat());
-        status(&mut stream)
-    }
-
-    fn hand_in(&self, id: &str, path: &str) -> u16 {
-        self.ask(&hand_in_head(id, path, 4), b"body")
-    }
-
-    fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args([name, &pid]).status().expect("kill runs").success());
-    }
-}
-
-fn status(stream: &mut TcpStream) -> u16 {
-    read_message(stream).and_then(|m| m.first.split(' ').nth(1)?.parse().ok()).unwrap_or(0)
-}
-
-fn calls(log: &Log, id: &str) -> usize {
-    let log = log.lock().expect("the log");
-    log.iter().filter(|m| m.headers.get("request-id").is_some_and(|i| i == id)).count()
+fn command(state: &Path, text: &str, listen: &str, discovery: SocketAddr) -> Command {
+    scripted::command(PROGRAM, state, text, listen, discovery)
 }
 
 #[test]
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod receivers;
 pub mod report;
 pub mod scenario;
+pub mod scripted;
 pub mod sim;
 pub mod sockets;
 pub mod subject;
