A row of refused connections counts as an outage, however short: what returns is cold

Cause: src/rules.rs, judge, gave a refused connection no weight within 2 s of an answer (it guards against taking a full connection table for an outage), so a short outage was never noticed. Now four refused since the last answer are one.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -45,7 +45,7 @@
         /// Writes the outcome as JSON; with both clocks, both
         #[arg(long)]
         json: Option<PathBuf>,
-        /// Writes the report as one HTML page
+        /// Writes the report as one HTML page, with the outcome as JSON beside it
         #[arg(long)]
         report: Option<PathBuf>,
     },
@@ -301,6 +301,8 @@
         Command::Run { scenario, clocks, world, json: to, report: page } => {
             let outcomes = play(&load(&scenario, &world.set)?, &clocks, &world)?;
             outcomes.iter().for_each(|o| print!("{}", report::text(o)));
+            // Beside a page lie its figures.
+            let to = to.or(page.as_ref().map(|p| p.with_extension("json")));
             if let Some(to) = to {
                 // One run is one object, as `report` reads it; several are a list.
                 write(&to, &if outcomes.len() == 1 { json(&outcomes[0])? } else { json(&outcomes)? })?;
--- a/crates/lab/src/sockets/clients.rs
+++ b/crates/lab/src/sockets/clients.rs
@@ -156,7 +156,9 @@
         let duty = state.next_duty;
         state.next_duty += 1;
         state.tally.counts.hand_ins += 1;
-        state.oracle.handed_in(Taking {
+        // Where nobody judges, nothing is kept for the judge.
+        let judged = |taking| if stage.alone { None } else { Some(taking) };
+        let taking = judged(Taking {
             duty,
             packet: number,
             forwarder: forwarder as u32,
@@ -165,6 +167,7 @@
             destination: due.destination,
             key: None,
         });
+        taking.into_iter().for_each(|t| state.oracle.handed_in(t));
         (duty, head(&stage, &due, number, duty, (expires - now) / 1000, again, orphan))
     };
     let answer = tokio::time::timeout(ANSWER, doors[forwarder].exchange(&request)).await;
@@ -173,6 +176,9 @@
     match answer {
         Ok(Ok(answer)) if matches!(answer.status, 200 | 202) => {
             state.oracle.taken(duty);
+            if stage.alone {
+                state.packets.remove(&number); // what becomes of it is not seen from here
+            }
             state.tally.outcome("hand-in: taken");
         }
         Ok(Ok(answer)) if matches!(answer.status, 429 | 503) => {
--- a/crates/lab/tests/tool.rs
+++ b/crates/lab/tests/tool.rs
@@ -98,3 +98,19 @@
     assert!(lab(&["report", outcome.to_str().expect("a name"), "--to", &to]).status.success());
     assert!(std::fs::read_to_string(page).expect("written").contains("<svg"));
 }
+
+/// The oracle on sockets can fail, too: a bare relay neither tries again nor gives anyone a final answer.
+#[test]
+fn on_sockets_a_bare_relay_is_caught_losing_packets() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let file = dir.path().join("relay.toml");
+    let world = "version = 1\nname = \"relay\"\nshows = \"s\"\nlasts = \"2s\"\n[[profiles]]\nname = \"p\"\neffect = \"retriable\"\n\
+                 contract_time = \"500ms\"\nexpiry = \"2s\"\n[[destinations]]\nname = \"d\"\nrate = 100.0\nlimited = false\n\
+                 errors = 0.3\nservice = { kind = \"constant\", time = \"5ms\" }\n[[loads]]\nrate = 40.0\n";
+    std::fs::write(&file, world).expect("written");
+    let relay = env!("CARGO_BIN_EXE_opalpulley-relay");
+    let ended = lab(&["run", file.to_str().expect("a name"), "--sockets", "--forwarder", relay]);
+    let told = text(&ended.stdout);
+    assert_eq!(ended.status.code(), Some(1), "{told}{}", text(&ended.stderr));
+    assert!(told.contains("rule broken: lost"), "{told}");
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,9 +1,7 @@
-//! Every decision of opalpulley. A front end calls `Forwarder::new(terms, seed)` once and then
-//! `forwarder.handle(now, event, &mut actions)` for each event, in order, and carries out the actions.
-//! Events, actions, ids and the terms told at start are plain data in `src/interface.rs`.
-//! Three parts talk by notes only: the `Forwarder` (loop, packet book, slots), a `Destination` (line, cap,
-//! pace, hold) and its `Target`s (places, recent outcomes, probing, drain, cold ramp). `Post` keeps an inbox
-//! for each part and `Forwarder::settle` empties them until none holds a note.
+//! Every decision of opalpulley. A front end calls `Forwarder::new(terms, seed)` once, then `forwarder.handle(now,
+//! event, &mut actions)` for each event, in order, and carries out the actions. Three parts talk by notes only: the
+//! `Forwarder` (loop, packet book, slots), a `Destination` (line, cap, pace, hold) and its `Target`s (places, recent
+//! outcomes, probing, drain, cold ramp). `Post` keeps an inbox for each; `Forwarder::settle` empties them.
 
 use crate::interface::*;
 use crate::line::{Entry, Line, Rank};
@@ -22,6 +20,7 @@
 const LAST_FEW: usize = 8; // outcomes that judge a target: turns within seconds at a call a second
 const ASIDE_SUCCESSES: usize = 4; // of the last few, fewer set it aside: most failing is an outage
 const ASIDE_ROW: u32 = 3; // failures in a row that set it aside sooner: chance seldom makes three
+const REFUSED_ROW: u32 = 4; // connections refused since an answer that prove nothing: a full table refuses some
 const SCANT_ROW: u32 = 2; // the same where the cold budget is scant: what hundreds retry adds up
 const TROUBLED_FAILURES: usize = 2; // of the last few, for the lower share: one may be chance
 const NEW_ANSWER: f64 = 0.125; // weight of an answer in the mean: some eight answers
@@ -574,6 +573,7 @@
     calls: Vec<Call>,       // calls under way; each leaves with its last outcome
     recent: VecDeque<bool>, // successes among the last few outcomes, at most `LAST_FEW`
     failures: u32,
+    refusals: u32,     // connections, since the last answer
     row_since: Micros, // when their row began
     health: Health,
     capacity: f64,
@@ -644,9 +644,11 @@
 
     fn judge(&mut self, outcome: Outcome, took: Micros, desk: &mut Desk) {
         self.row_since = if self.failures == 0 { desk.now } else { self.row_since };
+        self.refusals *= u32::from(!matches!(outcome, Outcome::Delivered | Outcome::Full { .. }));
+        let passing = desk.now < self.answered + 2 * SILENCE && self.refusals < REFUSED_ROW;
         match outcome {
             // Guards against taking a full connection table for an outage: others of our calls got through.
-            Outcome::NoConnection if desk.now < self.answered + 2 * SILENCE => return,
+            Outcome::NoConnection if passing => return self.refusals += 1,
             Outcome::CalledOff | Outcome::Moot { .. } => return,
             Outcome::Delivered => {
                 (self.answered, self.failures) = (desk.now, 0);
@@ -669,7 +671,7 @@
         let scant = self.even(desk.now, desk.terms).1;
         // Guards a destination at its limit against being taken for a shut one: that lasts longer.
         let span = if matches!(outcome, Outcome::Full { .. }) { desk.terms.rules.overload_for } else { 0 };
-        let row = self.failures >= ASIDE_ROW && desk.now >= self.row_since + span;
+        let row = self.failures.max(self.refusals) >= ASIDE_ROW && desk.now >= self.row_since + span;
         if row || scant && self.failures >= SCANT_ROW || most_fail {
             self.set_aside("most calls fail", desk);
         }
@@ -686,11 +688,9 @@
     }
 
     fn log(&self, what: &str, desk: &mut Desk) {
-        let [a, b, c, d] = self.id.address;
-        desk.tell(ToForwarder::Do(Action::Log(format!(
-            "destination {} target {a}.{b}.{c}.{d} {what}",
-            self.destination.0
-        ))));
+        let (destination, [a, b, c, d]) = (self.destination.0, self.id.address);
+        let words = format!("destination {destination} target {a}.{b}.{c}.{d} {what}");
+        desk.tell(ToForwarder::Do(Action::Log(words)));
     }
 
     /// Part of its capacity that it may get from all forwarders while it may be cold.
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -158,6 +158,28 @@
     Ok(())
 }
 
+/// A few refused connections soon after an answer are a full table; a row of them without an answer is an outage, however
+/// short: what comes back after it is cold.
+#[test]
+fn a_short_outage_is_told_from_a_full_connection_table() -> Checked {
+    for (outage, set_aside) in [(true, true), (false, false)] {
+        let mut world = one_target();
+        good_times(&mut world, 3)?;
+        for n in 0..12 {
+            world.arrive(0, 0, None, 8_000 * MS)?;
+            world.pass(50 * MS)?;
+            for id in world.out() {
+                let answers = !outage && n % 3 == 2;
+                world.end(id, if answers { Outcome::Delivered } else { Outcome::NoConnection })?;
+            }
+        }
+        if logged(&world, "set aside") != set_aside {
+            return Err(format!("outage: {outage}, within 0.6 s of the last answer"));
+        }
+    }
+    Ok(())
+}
+
 #[test]
 fn a_target_set_aside_comes_back_by_probe_then_call() -> Checked {
     let mut world = one_target();
