--- a/crates/lab/src/sockets/clients.rs
+++ b/crates/lab/src/sockets/clients.rs
@@ -16,12 +16,14 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::runtime::Handle;
+use tokio::sync::{mpsc, oneshot};
 
 const ANSWER: Duration = Duration::from_millis(400); // a client waits so long for its answer
 const ELSEWHERE: Micros = 50_000; // µs after a connection that was refused
 const TRIES: u32 = 20; // of a client that finds no forwarder
-const KEPT: usize = 64; // connections that clients keep to a forwarder at most
+const KEPT: usize = 512; // connections that clients keep to a forwarder at most
+const AT_ONCE: usize = 32; // packets that go out before others get a turn
 
 /// The door of one forwarder, and the connections that clients keep to it.
 pub struct Door {
@@ -80,14 +82,43 @@
     }
 }
 
-/// Hands everything in when it is due, and again what was deferred. Ends with the load; hand-ins under way go on.
-pub(crate) async fn run(
+/// The load tool's own thread: hand-ins under way can't keep it from the next packet's time. Dropped, it stops.
+pub(crate) struct Pacer {
+    _stop: oneshot::Sender<()>,
+}
+
+/// Starts it. What it hands in goes on in the runtime that this is called from.
+pub(crate) fn start(
     stage: Arc<Stage>,
     doors: Vec<Arc<Door>>,
+    loads: Loads,
+    agains: mpsc::UnboundedReceiver<Again>,
+    begin: Micros,
+) -> io::Result<Pacer> {
+    let (stop, stopped) = oneshot::channel::<()>();
+    let others = Handle::current();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build()?;
+    std::thread::Builder::new().name("load".into()).spawn(move || {
+        runtime.block_on(async {
+            tokio::select! {
+                () = run(stage, doors.into(), loads, agains, begin, others) => {}
+                _ = stopped => {}
+            }
+        });
+    })?;
+    Ok(Pacer { _stop: stop })
+}
+
+/// Hands everything in when it is due, and again what was deferred.
+async fn run(
+    stage: Arc<Stage>,
+    doors: Arc<[Arc<Door>]>,
     mut loads: Loads,
     mut agains: mpsc::UnboundedReceiver<Again>,
     begin: Micros,
+    others: Handle,
 ) {
+    let mut handed = 0;
     let next_door = Arc::new(AtomicUsize::new(0));
     let mut next = loads.next();
     let mut later: BinaryHeap<Reverse<(Micros, u64)>> = BinaryHeap::new();
@@ -118,9 +149,10 @@
             })
         };
         if let Some(number) = number {
-            tokio::spawn(hand_in(stage.clone(), doors.clone(), next_door.clone(), number));
+            others.spawn(hand_in(stage.clone(), doors.clone(), next_door.clone(), number));
         }
-        if stage.now().is_multiple_of(16) {
+        handed += 1;
+        if handed % AT_ONCE == 0 {
             tokio::task::yield_now().await;
         }
     }
@@ -138,7 +170,7 @@
     number
 }
 
-async fn hand_in(stage: Arc<Stage>, doors: Vec<Arc<Door>>, next_door: Arc<AtomicUsize>, number: u64) {
+async fn hand_in(stage: Arc<Stage>, doors: Arc<[Arc<Door>]>, next_door: Arc<AtomicUsize>, number: u64) {
     let now = stage.now();
     // In turn, past those that are known to be down.
     let first = next_door.fetch_add(1, Ordering::Relaxed);
--- a/crates/lab/src/sockets/run.rs
+++ b/crates/lab/src/sockets/run.rs
@@ -121,7 +121,7 @@
     });
     stage.lock().tally.begins(begin);
     let loads = Loads::new(scenario, &stage.layout, seed)?;
-    let load = tokio::spawn(clients::run(stage.clone(), doors, loads, agains, begin));
+    let load = clients::start(stage.clone(), doors, loads, agains, begin).map_err(told)?;
     let troubles: Vec<_> =
         (0..scenario.troubles.len()).map(|n| tokio::spawn(timeline.clone().trouble(n))).collect();
 
@@ -153,7 +153,7 @@
             break;
         }
     }
-    load.abort();
+    drop(load);
     for process in &timeline.processes {
         process.lock().await.kill(true).await;
     }
@@ -412,18 +412,19 @@
     at: &[SocketAddr],
     mut watch: impl FnMut(Micros, Micros),
 ) -> Result<Outcome, String> {
+    let told = |e: std::io::Error| format!("the load tool could not start: {e}");
     let (stage, agains) = Stage::new(scenario, seed, true);
     let begin = stage.now() + 100_000;
     let loads = Loads::new(scenario, &stage.layout, seed)?;
     stage.lock().tally.begins(begin);
     let doors = at.iter().map(|a| Door::new(*a)).collect();
-    let load = tokio::spawn(clients::run(stage.clone(), doors, loads, agains, begin));
+    let load = clients::start(stage.clone(), doors, loads, agains, begin).map_err(told)?;
     let ends = begin + scenario.lasts.0 + 1_000_000;
     while stage.now() < ends {
         tokio::time::sleep(SWEEP).await;
         watch(stage.now().saturating_sub(begin), ends - begin);
     }
-    load.abort();
+    drop(load);
     let mut state = stage.lock();
     let now = stage.now();
     let late = if state.load_late.is_empty() { 0 } else { state.load_late.value_at_quantile(0.99) };
