--- a/crates/lab/src/sockets/agents.rs
+++ b/crates/lab/src/sockets/agents.rs
@@ -1,7 +1,7 @@
 //! The platform as a forwarder sees it: an agent for each, which tells the list and hears of ends.
 
 use super::targets::Standin;
-use super::wire::{listen, Conn, Message};
+use super::wire::{Conn, Message, Port};
 use super::Stage;
 use crate::oracle::Final;
 use opalpulley::Micros;
@@ -9,7 +9,7 @@
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -61,11 +61,12 @@
         standins: &[Arc<Standin>],
         port: u16,
     ) -> io::Result<Arc<Agent>> {
-        let listener = listen(SocketAddr::from((Ipv4Addr::LOCALHOST, port)))?;
+        let port = Port::hold(port)?;
+        let listener = port.listen()?;
         let members = (0..standins.len()).map(|t| ((t, standins[t].holder()), Phase::Ready)).collect();
         let told = Told { revision: 1, members, changes: Vec::new(), whole_from: 1 };
         let agent = Arc::new(Agent {
-            address: listener.local_addr()?,
+            address: port.address,
             forwarder,
             told: Mutex::new(told),
             news: watch::Sender::new(1),
--- a/crates/lab/src/sockets/run.rs
+++ b/crates/lab/src/sockets/run.rs
@@ -4,6 +4,7 @@
 use super::clients::{self, Door};
 use super::processes::Process;
 use super::targets::{self, Standin};
+use super::wire::Port;
 use super::{Stage, MOST_LATE};
 use crate::chance::stream;
 use crate::load::Loads;
@@ -15,7 +16,7 @@
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -43,7 +44,7 @@
     pub cpu: u64,
     /// Resident bytes of the largest, at most.
     pub memory: u64,
-    /// Calls on the kernel are not counted here: a tracer would slow them.
+    /// For how long packets were due, s.
     pub seconds: f64,
 }
 
@@ -67,11 +68,6 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// A free port of loopback, for a forwarder to listen on.
-fn free_address() -> std::io::Result<SocketAddr> {
-    std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
-}
-
 /// Plays a scenario in real time. `watch` hears how far it is, of how much, µs.
 pub async fn run(
     scenario: &Scenario,
@@ -84,9 +80,13 @@
     let (stage, agains) = Stage::new(scenario, seed, false);
     let standins = targets::start(&stage).await.map_err(told)?;
     let (mut agents, mut doors, mut processes) = (Vec::new(), Vec::new(), Vec::new());
+    let mut ports = Vec::new(); // of the forwarders, kept while they are down
+
     for number in 0..scenario.forwarders.count {
         let agent = Agent::start(&stage, number, &standins, 0).await.map_err(told)?;
-        let listen = free_address().map_err(told)?;
+        let port = Port::hold(0).map_err(told)?;
+        let listen = port.address;
+        ports.push(port);
         let logs = means.logs.as_deref();
         let mut process = Process::new(
             &means.program,
--- a/crates/lab/src/sockets/targets.rs
+++ b/crates/lab/src/sockets/targets.rs
@@ -1,6 +1,6 @@
 //! Stand-in targets: a listener each, calls and probes answered as the receivers' model says, when it says.
 
-use super::wire::{listen, Conn, Message};
+use super::wire::{Conn, Message, Port};
 use super::{Stage, State};
 use crate::oracle::{Final, Ran, Sending};
 use crate::receivers::{Fate, Says};
@@ -8,7 +8,7 @@
 use crate::tally::Tick;
 use opalpulley::Micros;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,6 +22,7 @@
 /// What is known of one stand-in.
 pub struct Standin {
     pub address: SocketAddr,
+    port: Port,
     /// Which holder of the address answers now.
     holder: AtomicU32,
     open: AtomicU32,
@@ -41,9 +42,9 @@
 pub async fn start(stage: &Arc<Stage>) -> io::Result<Vec<Arc<Standin>>> {
     let mut standins = Vec::new();
     for target in 0..stage.layout.targets.len() {
-        let listener = listen(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
-        let address = listener.local_addr()?;
-        let standin = Arc::new(Standin { address, holder: AtomicU32::new(0), open: AtomicU32::new(0) });
+        let port = Port::hold(0)?;
+        let (listener, address) = (port.listen()?, port.address);
+        let standin = Arc::new(Standin { address, port, holder: AtomicU32::new(0), open: AtomicU32::new(0) });
         standins.push(standin.clone());
         tokio::spawn(keep(stage.clone(), target, standin, listener));
     }
@@ -59,7 +60,7 @@
         let refuses = stage.lock().receivers.refuses(stage.now(), target);
         match (refuses, &listener) {
             (true, Some(_)) => listener = None,
-            (false, None) => listener = listen(standin.address).ok(),
+            (false, None) => listener = standin.port.listen().ok(),
             _ => {}
         }
         let accept = async {
--- a/crates/lab/src/sockets/wire.rs
+++ b/crates/lab/src/sockets/wire.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 as the stand-ins read and write it: by hand where it must be spoilt on purpose, its heads read by `httparse`.
 
 use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -129,10 +130,36 @@
     }
 }
 
-/// A listener on an address that may just have been closed.
-pub fn listen(address: std::net::SocketAddr) -> io::Result<tokio::net::TcpListener> {
-    let socket = tokio::net::TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(1024)
+/// A port of loopback that is kept while nobody listens there: another world on this machine must not get it meanwhile,
+/// nor what is sent to it.
+pub struct Port {
+    pub address: SocketAddr,
+    _held: socket2::Socket,
+}
+
+impl Port {
+    /// A free one; `port` where it is named.
+    pub fn hold(port: u16) -> io::Result<Port> {
+        // Chosen without the right to share, for what others keep must not be chosen; then kept with it, so that a listener
+        // can stand beside it.
+        let chosen = match port {
+            0 => {
+                let socket = tokio::net::TcpSocket::new_v4()?;
+                socket.bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+                socket.local_addr()?
+            }
+            port => SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
+        };
+        let held = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
+        held.set_reuse_address(true)?;
+        held.bind(&chosen.into())?;
+        Ok(Port { address: chosen, _held: held })
+    }
+
+    pub fn listen(&self) -> io::Result<tokio::net::TcpListener> {
+        let socket = tokio::net::TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(self.address)?;
+        socket.listen(1024)
+    }
 }
