A stand-in's port is chosen again where somebody else got it meanwhile

Cause: between choosing a free port and keeping it another socket could get it; a test on sockets failed so once in some ten runs (address in use). It tries again now, and a listener that can't come back at once is tried until it does. A field of a trip that nobody read is gone.

--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -123,8 +123,6 @@
     target: TargetId,
     sent: Micros,
     mark: Option<u64>,
-    /// It opened its connection itself.
-    fresh: bool,
 }
 
 /// Connections to one target: how many are open, and those that stand idle, by forwarder, each since when.
@@ -335,7 +333,7 @@
     }
 
     /// Takes an idle connection or opens one; gives what it costs in time, or none where the target takes no more.
-    fn connect(&mut self, forwarder: u32, target: usize) -> Option<(Micros, bool)> {
+    fn connect(&mut self, forwarder: u32, target: usize) -> Option<Micros> {
         let group = &self.scenario.destinations[self.layout.targets[target].group];
         let (now, idle_for) = (self.now, group.idle.0 - group.idle.0 / 10);
         let c = &mut self.connections[target];
@@ -355,10 +353,10 @@
         }
         c.busy += 1;
         match kept.take() {
-            Some(_) => Some((0, false)),
+            Some(_) => Some(0),
             None => {
                 self.tally.counts.handshakes += 1;
-                Some((2 * self.scenario.network.delay.0 + group.handshake.0, true))
+                Some(2 * self.scenario.network.delay.0 + group.handshake.0)
             }
         }
     }
--- a/crates/lab/src/sim/stations.rs
+++ b/crates/lab/src/sim/stations.rs
@@ -225,14 +225,11 @@
         self.tally.calls_out += 1;
         self.tally.tick(now, Tick::Call);
         let mark = self.mark(of, profile);
-        let out = Trip { forwarder, packet: id, duty, of, number, target, sent: now, mark, fresh: false };
+        let out = Trip { forwarder, packet: id, duty, of, number, target, sent: now, mark };
         self.trips.insert(trip, out);
         let delay = self.scenario.network.delay.0;
         match self.connect(forwarder, place) {
-            Some((cost, fresh)) => {
-                if let Some(t) = self.trips.get_mut(&trip) {
-                    t.fresh = fresh;
-                }
+            Some(cost) => {
                 self.arrange(now + cost + delay, Happening::Reaches { trip });
                 let limit = limit.map_or(left, |l| l.min(left));
                 self.arrange(now + limit, Happening::Ends { trip, outcome: Outcome::Timeout });
--- a/crates/lab/src/sockets/targets.rs
+++ b/crates/lab/src/sockets/targets.rs
@@ -75,7 +75,7 @@
                 Err(_) => tokio::time::sleep(POLL).await, // out of descriptors: some come free
             },
             _ = changed.changed() => {}
-            () = tokio::time::sleep(POLL), if flaps || refuses => {}
+            () = tokio::time::sleep(POLL), if flaps || listener.is_none() => {}
         }
     }
 }
--- a/crates/lab/src/sockets/wire.rs
+++ b/crates/lab/src/sockets/wire.rs
@@ -8,6 +8,7 @@
 const MOST_HEAD: usize = 64 * 1024;
 const MOST_HEADERS: usize = 64;
 const MOST_BODY: usize = 4 * 1024 * 1024;
+const TRIES: u32 = 100; // for a free port
 
 /// A connection with what was read ahead of it.
 pub struct Conn {
@@ -140,20 +141,34 @@
 impl Port {
     /// A free one; `port` where it is named.
     pub fn hold(port: u16) -> io::Result<Port> {
-        // Chosen without the right to share, for what others keep must not be chosen; then kept with it, so that a listener
-        // can stand beside it.
-        let chosen = match port {
-            0 => {
-                let socket = tokio::net::TcpSocket::new_v4()?;
-                socket.bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
-                socket.local_addr()?
+        let mut tries = 0;
+        loop {
+            // Between choosing and keeping, somebody else may have got it: then another will do.
+            let held = Port::choose(port).and_then(Port::keep).and_then(|p| p.listen().map(|_| p));
+            tries += 1;
+            match held {
+                Err(e) if e.kind() == io::ErrorKind::AddrInUse && port == 0 && tries < TRIES => {}
+                held => return held,
             }
-            port => SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
-        };
+        }
+    }
+
+    /// Chosen without the right to share, for what others keep must not be chosen.
+    fn choose(port: u16) -> io::Result<SocketAddr> {
+        let socket = tokio::net::TcpSocket::new_v4()?;
+        if port == 0 {
+            socket.bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+            return socket.local_addr();
+        }
+        Ok(SocketAddr::from((Ipv4Addr::LOCALHOST, port)))
+    }
+
+    /// Kept with the right to share, so that a listener can stand beside it.
+    fn keep(address: SocketAddr) -> io::Result<Port> {
         let held = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
         held.set_reuse_address(true)?;
-        held.bind(&chosen.into())?;
-        Ok(Port { address: chosen, _held: held })
+        held.bind(&address.into())?;
+        Ok(Port { address, _held: held })
     }
 
     pub fn listen(&self) -> io::Result<tokio::net::TcpListener> {
