--- a/crates/forwarder/src/module.rs
+++ b/crates/forwarder/src/module.rs
@@ -417,7 +417,10 @@
 
     fn carry_out(&mut self, now: Micros, action: Action) {
         match action {
-            Action::Send { id, target, limit } => self.send(now, id, target, limit),
+            Action::Send { id, target, limit, begin_by } => {
+                let left = begin_by.saturating_sub(now);
+                self.send(now, id, target, limit, Duration::from_micros(left));
+            }
             Action::WriteOff { id } => self.finish(id, Some(Ending::WrittenOff)),
             Action::Defer { id, come_back } => self.finish(id, Some(Ending::Deferred { come_back })),
             Action::Wake { after, token } => {
@@ -484,7 +487,14 @@
         }
     }
 
-    fn send(&mut self, now: Micros, id: PacketId, target: TargetId, limit: Option<Micros>) {
+    fn send(
+        &mut self,
+        now: Micros,
+        id: PacketId,
+        target: TargetId,
+        limit: Option<Micros>,
+        begin_within: Duration,
+    ) {
         let zone = self.peers.get(&target).map_or(0, |p| p.listing.zone.0);
         let Some(open) = self.open.get_mut(&id).filter(|o| !o.ended) else {
             error!(self.log, "the core sends a packet that is over");
@@ -500,6 +510,7 @@
             mark: open.handed.mark.clone(),
             body: open.handed.body.clone(),
             limit: Duration::from_micros(limit.map_or(left, |l| l.min(left))),
+            begin_within,
         };
         let serial = open.serial;
         let kept = self.journal.trip_started(serial, trip, now, zone);
--- a/crates/forwarder/src/notes.rs
+++ b/crates/forwarder/src/notes.rs
@@ -73,4 +73,6 @@
     pub mark: Option<String>,
     pub body: Bytes,
     pub limit: Duration,
+    /// Its first byte goes out within this time, or none does.
+    pub begin_within: Duration,
 }
--- a/crates/forwarder/src/targets.rs
+++ b/crates/forwarder/src/targets.rs
@@ -47,6 +47,8 @@
     Broken,
     OutOfTime,
     CalledOff,
+    /// The last moment at which it might begin is over, and none of its bytes has gone.
+    TooLate,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -67,6 +69,7 @@
     fn from(fault: CallFault) -> Outcome {
         match (fault.why, fault.stage) {
             (Why::CalledOff, _) => Outcome::CalledOff,
+            (Why::TooLate, _) => Outcome::Moot { no_slot: false },
             (_, Stage::Connecting) => Outcome::NoConnection,
             (Why::Broken, Stage::Writing) => Outcome::NoConnection,
             (Why::Broken, Stage::Written) => Outcome::Reset,
@@ -225,7 +228,7 @@
             TargetNote::Probe => {
                 let request = protocol::encode_probe(self.id);
                 let limit = Duration::from_micros(self.links.terms.connect_within).mul_f64(PROBE_TIME);
-                self.start(Errand::Probe, request, limit);
+                self.start(Errand::Probe, request, limit, limit);
             }
             TargetNote::CallOff { id, trip } => {
                 let named = |u: &&mut Underway| matches!(u.errand, Errand::Trip { id: i, trip: t } if (i, t) == (id, trip));
@@ -241,17 +244,26 @@
     fn call(&mut self, call: Call) {
         let mark = call.mark.as_deref();
         let request = protocol::encode_call(self.id, &call.request_id, mark, call.limit, &call.body);
-        self.start(Errand::Trip { id: call.id, trip: call.trip }, request, call.limit);
+        self.start(Errand::Trip { id: call.id, trip: call.trip }, request, call.limit, call.begin_within);
     }
 
-    fn start(&mut self, errand: Errand, request: Result<Outgoing, hyper::http::Error>, limit: Duration) {
+    fn start(
+        &mut self,
+        errand: Errand,
+        request: Result<Outgoing, hyper::http::Error>,
+        limit: Duration,
+        begin_within: Duration,
+    ) {
         let (quit, quitting) = oneshot::channel();
         let began = Instant::now();
         let idle = self.take_idle();
         let (links, target) = (self.links.clone(), self.id);
         let task = self.tasks.spawn(async move {
             let ended = match request {
-                Ok(call) => carry(target, idle, call, &links, began + limit, quitting).await,
+                Ok(call) => {
+                    let bounds = Bounds { begin: began + begin_within, end: began + limit };
+                    carry(target, idle, call, &links, bounds, quitting).await
+                }
                 Err(problem) => {
                     error!(links.log, "a call could not be written"; "problem" => %problem);
                     Err(CallFault { stage: Stage::Writing, why: Why::Broken })
@@ -344,22 +356,31 @@
     Yes,
 }
 
+/// When a call is given up: not begun by the one, or not answered by the other.
+struct Bounds {
+    begin: Instant,
+    end: Instant,
+}
+
 /// One call from its connection to the head of its answer.
 async fn carry(
     target: TargetId,
     idle: Option<(Line, Instant)>,
     call: Outgoing,
     links: &Links,
-    until: Instant,
+    bounds: Bounds,
     quitting: oneshot::Receiver<()>,
 ) -> Result<Came, CallFault> {
     let seen: Mutex<Option<Arc<Sight>>> = Mutex::new(None);
     let (seen, now_seen) = (&seen, &Notify::new());
+    let too_late = CallFault { stage: Stage::Connecting, why: Why::TooLate };
+    let in_time = || if Instant::now() < bounds.begin { Ok(()) } else { Err(too_late) };
     let work = async {
         // An idle connection that took no byte of this call carries none of it: a new one begins it.
         if let Some((mut line, since)) = idle {
             tokio::time::sleep_until(since + SETTLE).await;
             if line.link.usable().await {
+                in_time()?;
                 line.show(seen, now_seen);
                 match line.send(call.clone()).await {
                     Ok(answer) => return Ok(Came::Head(answer, line)),
@@ -368,7 +389,10 @@
                 }
             }
         }
-        let mut line = Line::open(target, Duration::from_micros(links.terms.connect_within)).await?;
+        // Guards rule 2: a connection that comes up late must not carry a repeat out of the window of the first trip.
+        let open = Line::open(target, Duration::from_micros(links.terms.connect_within));
+        let mut line = tokio::time::timeout_at(bounds.begin, open).await.map_err(|_| too_late)??;
+        in_time()?;
         line.show(seen, now_seen);
         let answer = line.send(call).await?;
         Ok(Came::Head(answer, line))
@@ -394,7 +418,7 @@
     let ended = tokio::select! {
         biased;
         ended = work => ended,
-        () = tokio::time::sleep_until(until) => gone(Why::OutOfTime),
+        () = tokio::time::sleep_until(bounds.end) => gone(Why::OutOfTime),
         Ok(()) = quitting => gone(Why::CalledOff),
         () = spoilt => gone(Why::Broken),
     };
--- a/crates/forwarder/src/targets/tests.rs
+++ b/crates/forwarder/src/targets/tests.rs
@@ -3,6 +3,7 @@
 use super::*;
 use bytes::Bytes;
 use opalpulley::Outcome;
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
@@ -41,6 +42,10 @@
     }
 
     async fn call(&mut self, body: &Bytes, limit: u64) {
+        self.call_begun(body, limit, limit).await;
+    }
+
+    async fn call_begun(&mut self, body: &Bytes, limit: u64, begin_within: u64) {
         let call = Call {
             id: PacketId(1),
             trip: self.trips,
@@ -48,6 +53,7 @@
             mark: Some("5c0f6e1a".into()),
             body: body.clone(),
             limit: Duration::from_millis(limit),
+            begin_within: Duration::from_millis(begin_within),
         };
         self.trips += 1;
         self.mailbox.send(TargetNote::Call(call)).await.expect("the actor runs");
@@ -339,3 +345,35 @@
         assert_eq!(rig.outcome().await.0, outcome);
     }
 }
+
+/// A repeat that is to begin within a time puts no byte on a connection after it: neither on one that comes up late nor on
+/// one that it finds open.
+#[tokio::test]
+async fn a_call_that_can_not_begin_in_time_is_not_sent() {
+    let mut rig = Rig::new().await;
+    // Connections beyond the backlog stay unanswered, as those to a machine that is cut off.
+    SockRef::from(&rig.listener).listen(0).expect("a short line");
+    let port = rig.listener.local_addr().expect("its address").port();
+    let mut before = Vec::new();
+    while let Ok(stream) =
+        tokio::time::timeout(Duration::from_millis(50), TcpStream::connect(("127.0.0.1", port))).await
+    {
+        before.push(stream.expect("a connection"));
+    }
+    rig.call_begun(&Bytes::from_static(b"late"), 1500, 100).await;
+    assert_eq!(rig.outcome().await, (Outcome::Moot { no_slot: false }, false));
+    for _ in 0..before.len() {
+        rig.accept().await;
+    }
+
+    rig.call(&Bytes::from_static(b"in time"), 1500).await;
+    let mut stream = rig.accept().await;
+    read_call(&mut stream).await;
+    stream.write_all(OK).await.expect("sent");
+    assert_eq!(rig.outcome().await, (Outcome::Delivered, true));
+    rig.call_begun(&Bytes::from_static(b"late"), 1500, 0).await;
+    assert_eq!(rig.outcome().await, (Outcome::Moot { no_slot: false }, false));
+    let mut byte = [0];
+    let none = tokio::time::timeout(Duration::from_millis(100), stream.read(&mut byte)).await;
+    assert!(!matches!(none, Ok(Ok(1))), "a byte of a call that was too late");
+}
--- a/crates/lab/src/sim/stations.rs
+++ b/crates/lab/src/sim/stations.rs
@@ -164,7 +164,7 @@
     fn carry_out(&mut self, forwarder: u32, action: Action) {
         let life = self.stations[forwarder as usize].life;
         match action {
-            Action::Send { id, target, limit } => self.send(forwarder, id, target, limit),
+            Action::Send { id, target, limit, .. } => self.send(forwarder, id, target, limit),
             Action::WriteOff { id } => self.finish(forwarder, id, Final::WrittenOff, None),
             Action::Defer { id, come_back } => self.finish(forwarder, id, Final::Deferred, come_back),
             Action::Wake { after, token } => {
--- a/crates/lab/src/subject.rs
+++ b/crates/lab/src/subject.rs
@@ -171,7 +171,7 @@
             actions.push(action);
         }
         if let (Make::SendsAfterEnd, Some((id, target))) = (self.make, delivered) {
-            actions.push(Action::Send { id, target, limit: None });
+            actions.push(Action::Send { id, target, limit: None, begin_by: Micros::MAX });
         }
     }
 }
--- a/crates/simhost/src/host/tests.rs
+++ b/crates/simhost/src/host/tests.rs
@@ -82,7 +82,7 @@
     let mut reply = Reply::default();
     let target = opalpulley::TargetId { address: [10, 18, 74, 7], port: 8083, holder: 0 };
     let id = PacketId(0x5d3a91c4);
-    reply.push(3, &Action::Send { id, target, limit: Some(80_000) }).expect("fits");
+    reply.push(3, &Action::Send { id, target, limit: Some(80_000), begin_by: 90_000 }).expect("fits");
     reply.push(3, &Action::Wake { after: 500_000, token: Token(0x4d) }).expect("fits");
     reply.push(5, &Action::Log("two servers known".into())).expect("fits");
     let page = "41000000 03000000 0c000000
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -254,7 +254,7 @@
     pub fn push(&mut self, instance: u16, action: &Action) -> Result<(), WireError> {
         let mut fields = instance.to_le_bytes().to_vec();
         let code: u16 = match action {
-            Action::Send { id, target, limit } => {
+            Action::Send { id, target, limit, .. } => {
                 fields.extend(id.0.to_le_bytes());
                 put_target(&mut fields, *target);
                 fields.extend(narrow("Relay", limit.unwrap_or(0))?.to_le_bytes());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -166,11 +166,13 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Sends the packet on its next trip; `limit` is its time-out, none for as long as the packet lives.
+    /// Sends the packet on its next trip; `limit` is its time-out in µs, none for as long as the packet lives. A trip that
+    /// has put no byte on a connection by the time `begin_by` puts none there at all: it ends as `Outcome::Moot`.
     Send {
         id: PacketId,
         target: TargetId,
         limit: Option<Micros>,
+        begin_by: Micros,
     },
     WriteOff {
         id: PacketId,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -372,8 +372,7 @@
     }
 
     fn trip_over(&mut self, id: PacketId, trip: (TargetId, Micros), outcome: Outcome, desk: &mut Desk) {
-        let (target, sent) = trip;
-        let Some(packet) = self.packets.get_mut(&id) else { return };
+        let ((target, sent), Some(packet)) = (trip, self.packets.get_mut(&id)) else { return };
         let zone = self.cards.get(&target).map_or(0, |c| c.zone);
         if let (Outcome::Timeout | Outcome::Reset | Outcome::CalledOff, Some(key)) = (outcome, packet.key) {
             desk.tell(ToForwarder::Unclear { key });
@@ -542,7 +541,8 @@
             };
             let limit = limit.map(|l| l.clamp(1, packet.expires - desk.now));
             desk.post.targets.push_back((target, ToTarget::Board));
-            desk.tell(ToForwarder::Do(Action::Send { id, target, limit }));
+            let begin_by = packet.last_send(desk.terms).saturating_sub(2 * TICK);
+            desk.tell(ToForwarder::Do(Action::Send { id, target, limit, begin_by }));
         }
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -304,7 +304,7 @@
 
     fn check(&mut self, action: &Action) -> Result<(), String> {
         match action {
-            Action::Send { id, target, limit } => {
+            Action::Send { id, target, limit, .. } => {
                 self.check_send(*id, *target)?;
                 let held = self.packets.get_mut(id).ok_or("unknown packet")?;
                 let due = limit.map_or(held.expires, |l| self.now + l);
