--- a/src/rules.rs
+++ b/src/rules.rs
@@ -33,11 +33,13 @@
 const PLACES: f64 = 2.0; // calls at once, times what the listed rate keeps busy: as many again in its queue
 const FIRST_PLACES: usize = 4; // calls at once, the fewest places: enough to learn from
 const FIRST_REST: f64 = 1.0; // calls' time at the known capacity, the first rest after a refusal: one's room
+const FIRST_SHARE: f64 = 0.5; // of an even share's time, the same where more forwarders share: a second makes it whole
 const EVEN_REST: f64 = 0.8; // even shares' time, the rest at start: shares are not quite even
 const EVEN_SCALE: f64 = 1.0; // seconds, the longest such rest: even shares that come seldom come by chance
 const MOST_REST: f64 = 2.0; // even shares' time, the longest rest: refusals may be others' doing
 const CUT: f64 = 0.85; // of the pace, after a refusal at an even share's: mild, for one refusal tells little
 const EASE: f64 = 4.0; // seconds in which a rest shrinks to a third: a few refusals' worth
+const EASE_RESTS: f64 = 8.0; // rests, the same where calls are few: a rest learned is kept for some calls
 const CATCH_UP: f64 = 0.5; // seconds of missed pace that may go at once: looks are that uneven at most
 const COLD_MARGIN: f64 = 0.8; // of the cold budget that is used: capacity is only estimated, by others too
 const SCANT: f64 = 0.25; // calls an overload window, an even part of the cold budget that is next to nothing
@@ -253,7 +255,7 @@
         let passed = now.saturating_sub(self.eased) as f64 / SECOND;
         self.eased = now;
         if std::mem::take(&mut self.short) && now >= self.held {
-            self.rest *= (-passed / EASE).exp();
+            self.rest *= (-passed / EASE.max(EASE_RESTS * self.rest / SECOND)).exp();
         }
         if self.rest < FIRST_REST / 2.0 * SECOND / self.capacity {
             self.rest = 0.0;
@@ -268,7 +270,7 @@
 
     /// Guards against refusals that breed refusals: each lengthens the rest between our calls.
     fn refused(&mut self, sent: Micros, wait: Option<Micros>, desk: &mut Desk) {
-        let first = FIRST_REST * SECOND / self.capacity;
+        let first = (FIRST_REST * SECOND / self.capacity).max(FIRST_SHARE * self.even(desk.terms));
         if sent >= self.grown {
             let even = MOST_REST * self.even(desk.terms);
             let expiry = desk.terms.profiles.iter().map(|p| p.expiry).max().unwrap_or(0);
@@ -672,7 +674,8 @@
         // Guards a destination at its limit against being taken for a shut one: that lasts longer.
         let span = if matches!(outcome, Outcome::Full { .. }) { desk.terms.rules.overload_for } else { 0 };
         let row = self.failures.max(self.refusals) >= ASIDE_ROW && desk.now >= self.row_since + span;
-        if row || scant && self.failures >= SCANT_ROW || most_fail {
+        let scant_row = scant && self.failures >= SCANT_ROW && desk.now >= self.row_since + span;
+        if row || scant_row || most_fail {
             self.set_aside("most calls fail", desk);
         }
     }
