Late packets leave the pace's calls to packets in time until one is to spare

Destination::bid passes over a late packet until a whole rest more has passed; Gate::pass keeps up to one rest for it. Refusals set aside after three in a row as in small fleets, not two: a destination at its limit refuses one call in three. The bucket's arithmetic has a file of its own; it decides nothing.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,8 +1,10 @@
 //! The decision core of opalpulley: a dispatcher of notifications to outside receivers.
 //!
-//! [`rules`] holds every decision (`line` keeps the order of those that wait and decides nothing), [`interface`] the plain data that goes in and out. Neither knows of any
+//! [`rules`] holds every decision (`line` keeps the order of those that wait, `bucket` the arithmetic of rates: neither decides),
+//! [`interface`] the plain data that goes in and out. None knows of any
 //! wire: a front end translates its protocol into [`interface::Event`]s and carries out the [`interface::Action`]s.
 
+mod bucket;
 pub mod interface;
 mod line;
 pub mod rules;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -3,6 +3,7 @@
 //! `Forwarder` (loop, packet book, slots), a `Destination` (line, cap, pace, hold) and its `Target`s (places, recent
 //! outcomes, probing, drain, cold ramp). `Post` keeps an inbox for each; `Forwarder::settle` empties them.
 
+use crate::bucket::Bucket;
 use crate::interface::*;
 use crate::line::{Entry, Line, Rank};
 use rand::{Rng, SeedableRng};
@@ -222,19 +223,6 @@
     }
 }
 
-#[derive(Default)]
-struct Bucket {
-    left: f64,
-    filled: Micros,
-}
-
-impl Bucket {
-    fn fill(&mut self, now: Micros, rate: f64, most: f64) {
-        self.left = (self.left + rate * (now - self.filled) as f64 / SECOND).min(most.max(1.0));
-        self.filled = now;
-    }
-}
-
 #[derive(Default)]
 struct Gate {
     capacity: f64, // calls a second that it takes from all forwarders together, as told last
@@ -265,7 +253,8 @@
     /// Takes one call on: the next goes after the rest, give or take half, so that senders fall out of step.
     fn pass(&mut self, desk: &mut Desk) {
         let rest = self.rest * (0.5 + desk.rng.random::<f64>());
-        self.next = self.next.max(desk.now.saturating_sub((CATCH_UP * SECOND) as Micros)) + rest as Micros;
+        let missed = (CATCH_UP * SECOND).max(self.rest) as Micros;
+        self.next = self.next.max(desk.now.saturating_sub(missed)) + rest as Micros;
     }
 
     /// Guards against refusals that breed refusals: each lengthens the rest between our calls.
@@ -514,6 +503,14 @@
         let next = |t: TargetId| {
             Some((t, self.next_for(&self.cards[&t], desk)?.1 / self.cards[&t].answer_time.max(1.0)))
         };
+        // Guards packets in time against late ones, which lose nothing more by waiting: those go when a call is to spare.
+        let spare = |t: &TargetId| {
+            self.gates.get(&self.apart.then_some(*t)).is_none_or(|g| desk.now >= g.next + g.rest as Micros)
+        };
+        let in_time = |t: &TargetId| {
+            self.next_for(&self.cards[t], desk).is_some_and(|(id, _)| self.packets[&id].due > desk.now)
+        };
+        able.retain(|(_, t)| spare(t) || in_time(t));
         if let Some((target, gain)) = able.into_iter().find_map(|(_, target)| next(target)) {
             self.pick = Some(target);
             desk.tell(ToForwarder::Bid { destination: self.id, gain });
@@ -670,12 +667,12 @@
         }
         let successes = self.recent.iter().filter(|s| **s).count();
         let most_fail = self.recent.len() == LAST_FEW && successes < ASIDE_SUCCESSES;
-        let scant = self.even(desk.now, desk.terms).1;
+        let full = matches!(outcome, Outcome::Full { .. });
+        let scant = !full && self.even(desk.now, desk.terms).1;
         // Guards a destination at its limit against being taken for a shut one: that lasts longer.
-        let span = if matches!(outcome, Outcome::Full { .. }) { desk.terms.rules.overload_for } else { 0 };
+        let span = if full { desk.terms.rules.overload_for } else { 0 };
         let row = self.failures.max(self.refusals) >= ASIDE_ROW && desk.now >= self.row_since + span;
-        let scant_row = scant && self.failures >= SCANT_ROW && desk.now >= self.row_since + span;
-        if row || scant_row || most_fail {
+        if row || scant && self.failures >= SCANT_ROW || most_fail {
             self.set_aside("most calls fail", desk);
         }
     }
