--- a/src/rules.rs
+++ b/src/rules.rs
@@ -40,7 +40,7 @@
 const MOST_REST: f64 = 2.0; // even shares' time, the longest rest: refusals may be others' doing
 const CUT: f64 = 0.85; // of the pace, after a refusal at an even share's: mild, for one refusal tells little
 const EASE: f64 = 4.0; // seconds in which a rest shrinks to a third: a few refusals' worth
-const EASE_RESTS: f64 = 8.0; // rests, the same where calls are few: a rest learned is kept for some calls
+const EASE_RESTS: f64 = 24.0; // rests, the same where calls are few: a rest learned is kept for some calls
 const CATCH_UP: f64 = 0.5; // seconds of missed pace that may go at once: looks are that uneven at most
 const COLD_MARGIN: f64 = 0.8; // of the cold budget that is used: capacity is only estimated, by others too
 const SCANT: f64 = 0.25; // calls an overload window, an even part of the cold budget that is next to nothing
@@ -444,7 +444,8 @@
         let harmless = packet.exposed.is_none() || desk.row(packet.profile).effect == Effect::Retriable;
         let wait = COME_BACK.max(self.held().saturating_sub(desk.now));
         let come_back = wait.min(desk.terms.longest_return);
-        let answer = match harmless && desk.now + wait < packet.expires {
+        // What was never sent on has not failed, however late it is.
+        let answer = match harmless && (packet.trips == 0 || desk.now + wait < packet.expires) {
             true => Action::Defer { id, come_back: desk.terms.may_say_when.then_some(come_back) },
             false => Action::WriteOff { id },
         };
