--- a/src/rules.rs
+++ b/src/rules.rs
@@ -501,17 +501,15 @@
         }
         able.sort_by(|a, b| a.0.total_cmp(&b.0));
         // Slots are what is short: what is lost counts by the time that the call will hold one.
-        let next = |t: TargetId| {
-            Some((t, self.next_for(&self.cards[&t], desk)?.1 / self.cards[&t].answer_time.max(1.0)))
-        };
         // Guards packets in time against late ones, which lose nothing more by waiting: those go when a call is to spare.
-        let spare = |t: &TargetId| {
-            self.gates.get(&self.apart.then_some(*t)).is_none_or(|g| desk.now >= g.next + g.rest as Micros)
+        let spare = |t: TargetId| {
+            self.gates.get(&self.apart.then_some(t)).is_none_or(|g| desk.now >= g.next + g.rest as Micros)
         };
-        let in_time = |t: &TargetId| {
-            self.next_for(&self.cards[t], desk).is_some_and(|(id, _)| self.packets[&id].due > desk.now)
+        let next = |t: TargetId| {
+            let (id, loss) = self.next_for(&self.cards[&t], desk)?;
+            let goes = spare(t) || self.packets[&id].due > desk.now;
+            goes.then(|| (t, loss / self.cards[&t].answer_time.max(1.0)))
         };
-        able.retain(|(_, t)| spare(t) || in_time(t));
         if let Some((target, gain)) = able.into_iter().find_map(|(_, target)| next(target)) {
             self.pick = Some(target);
             desk.tell(ToForwarder::Bid { destination: self.id, gain });
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -534,3 +534,32 @@
     assert!(sends(&world, first).len() + sends(&world, next).len() > 1);
     Ok(())
 }
+
+/// A late packet leaves the first call that the pace allows to one in time, and goes when a whole rest more has passed.
+#[test]
+fn at_size_a_late_packet_waits_until_a_call_is_to_spare() -> Checked {
+    let mut world = World::new(TermsOfCarriage { forwarders: 300, ..terms() }, vec![listing(1, 0, 100.0)]);
+    let refused = world.arrive(0, 0, None, 8_000 * MS)?;
+    world.end(refused, Outcome::Full { wait: None })?;
+    world.withdraw(refused)?;
+    let late = world.arrive(0, 0, None, 6_900 * MS)?;
+    world.pass(2_100 * MS)?;
+    assert!(sends(&world, late).is_empty());
+    world.pass(2_500 * MS)?;
+    assert_eq!(sends(&world, late).len(), 1);
+    Ok(())
+}
+
+/// Two refusals are a destination at its limit, also where the cold budget of hundreds of forwarders is scant.
+#[test]
+fn at_size_two_refusals_set_nothing_aside() -> Checked {
+    let mut world = World::new(TermsOfCarriage { forwarders: 300, ..terms() }, vec![listing(1, 0, 100.0)]);
+    let id = world.arrive(0, 0, None, 8_000 * MS)?;
+    for trip in 1..=2 {
+        assert_eq!(sends(&world, id).len(), trip);
+        world.end(id, Outcome::Full { wait: None })?;
+        world.pass(4_500 * MS * (2 - trip as u64))?;
+    }
+    assert!(!logged(&world, "set aside"));
+    Ok(())
+}
