--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -114,7 +114,7 @@
         discovery: discovery.clone(),
         names,
         held,
-        must_be_asked: terms.list_must_be_asked,
+        must_be_asked: terms.ask_within.is_some(),
         module: module_box.clone(),
         log: log.clone(),
     };
--- a/crates/forwarder/src/list.rs
+++ b/crates/forwarder/src/list.rs
@@ -86,8 +86,10 @@
 impl List {
     pub async fn run(mut self, mut mailbox: mpsc::Receiver<ListNote>) {
         let mut watching = !self.must_be_asked;
-        let mut fetch = true;
+        // A watch tells what changed since the list that is known: the whole of it would cost as much once more.
+        let mut fetch = !self.must_be_asked || self.held.revision.is_none();
         let mut down = false;
+        let mut moved = false;
         loop {
             if !watching && !fetch {
                 tokio::select! {
@@ -102,20 +104,31 @@
             let watch = if fetch { None } else { self.held.revision.map(|r| (r, WATCH)) };
             let path = list_path(watch);
             let within = watch.map_or(PATIENCE, |(_, wait)| wait + PATIENCE);
-            let answer = tokio::select! {
-                answer = self.platform.ask(Method::GET, &path, Default::default(), within) => answer,
-                note = mailbox.recv() => match note {
-                    Some(note) => {
-                        Self::read(note, &mut watching, &mut fetch);
-                        continue;
+            let answer = {
+                let ask = self.platform.ask(Method::GET, &path, Default::default(), within);
+                tokio::pin!(ask);
+                // A note that changes nothing of what is asked leaves the call alone: it would be paid for twice.
+                loop {
+                    tokio::select! {
+                        answer = &mut ask => break Some(answer),
+                        note = mailbox.recv() => match note {
+                            Some(note) => Self::read(note, &mut watching, &mut fetch),
+                            None => return,
+                        },
+                        Ok(()) = self.discovery.changed() => {
+                            moved = true;
+                            break None;
+                        }
+                    }
+                    if fetch && watch.is_some() || !fetch && !watching {
+                        break None;
                     }
-                    None => return,
-                },
-                Ok(()) = self.discovery.changed() => {
-                    fetch = self.moved();
-                    continue;
                 }
             };
+            if std::mem::take(&mut moved) {
+                fetch = self.moved();
+            }
+            let Some(answer) = answer else { continue };
             match answer.and_then(|(status, body)| read_list(status, &body)) {
                 Ok(text) => {
                     if std::mem::take(&mut down) {
--- a/crates/forwarder/src/list/tests.rs
+++ b/crates/forwarder/src/list/tests.rs
@@ -79,3 +79,32 @@
     held.take(text(8, false, &[("z", 2, Phase::Gone)]), &names());
     assert!(held.members.is_empty());
 }
+
+/// Where the list must be asked for and one is known, nothing is asked before the core wants it, and then only once.
+#[tokio::test]
+async fn a_known_list_is_watched_from_its_revision_by_one_call() {
+    use tokio::io::AsyncReadExt;
+    let agent = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = agent.local_addr().expect("an address");
+    let (_moves, discovery) = watch::channel(address);
+    let (notes, mailbox) = mpsc::channel(4);
+    let (module, _events) = mpsc::channel(4);
+    let mut held = Held::default();
+    held.take(text(7, true, &[("x", 1, Phase::Ready)]), &names());
+    let log = Logger::root(slog::Discard, slog::o!());
+    let platform = Platform::new(address);
+    let list = List { platform, discovery, names: names(), held, must_be_asked: true, module, log };
+    tokio::spawn(list.run(mailbox));
+    let early = tokio::time::timeout(Duration::from_millis(100), agent.accept()).await;
+    assert!(early.is_err(), "asked before it was wanted");
+    notes.send(ListNote::Watch(true)).await.expect("the actor runs");
+    let (mut stream, _) = agent.accept().await.expect("a call");
+    let mut head = vec![0; 4096];
+    let read = stream.read(&mut head).await.expect("a request");
+    assert!(String::from_utf8_lossy(&head[..read]).starts_with("GET /discovery/hosts?index=7&"));
+    // The same wish once more while the call is out: it is left alone.
+    notes.send(ListNote::Watch(true)).await.expect("the actor runs");
+    assert!(tokio::time::timeout(Duration::from_millis(100), agent.accept()).await.is_err(), "asked again");
+    let more = tokio::time::timeout(Duration::from_millis(50), stream.read(&mut head)).await;
+    assert!(more.is_err(), "the call was dropped or made again");
+}
--- a/crates/lab/src/scenario/terms.rs
+++ b/crates/lab/src/scenario/terms.rs
@@ -42,7 +42,7 @@
             tenants: self.tenants.iter().map(|t| TenantTerms { quota: t.quota }).collect(),
             kinds: [false, true].map(|routes_apart| KindTerms { routes_apart, per_call: 1 }).to_vec(),
             zone_fees: vec![0.0, 0.0],
-            list_must_be_asked: false,
+            ask_within: None,
             rules: RuleTerms {
                 answer_slack: self.rules.answer_slack.0,
                 drain_grace: self.rules.drain_grace.0,
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 
 const DEFAULT_IDLE: Micros = 5_000_000; // µs, where the start object does not say: as at the first deployments
+const DEFAULT_ASK: Micros = 10_000_000; // µs, the same
 const DEFAULT_CONNECT: Micros = 1_000_000; // µs, the same
 
 /// What a front is told at start: terms for the core, names for its codec, figures of the links.
@@ -168,6 +169,8 @@
 #[serde(rename_all = "PascalCase")]
 struct Rules {
     answer_slack_us: Micros,
+    #[serde(default = "default_ask_within")]
+    ask_within_us: Micros,
     cold_from: f64,
     drain_grace_us: Micros,
     fall_multiple: f64,
@@ -177,6 +180,10 @@
     order_pause_us: Micros,
 }
 
+fn default_ask_within() -> Micros {
+    DEFAULT_ASK
+}
+
 pub fn read(text: &[u8]) -> Result<Waybill, String> {
     let text = &mut serde_json::Deserializer::from_slice(text);
     let start: Start = serde_path_to_error::deserialize(text)
@@ -254,7 +261,10 @@
             tenants: start.accounts.into_iter().map(|a| TenantTerms { quota: a.quota_per_s }).collect(),
             kinds,
             zone_fees: start.domain.zone_fee,
-            list_must_be_asked: start.membership_mode == Membership::OnRequest,
+            ask_within: match start.membership_mode {
+                Membership::Pushed => None,
+                Membership::OnRequest => Some(start.rules.ask_within_us),
+            },
             rules: RuleTerms {
                 answer_slack: start.rules.answer_slack_us,
                 drain_grace: start.rules.drain_grace_us,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -305,7 +305,8 @@
     pub kinds: Vec<KindTerms>,
     /// For each zone, the fee of a packet that a route apart there takes on.
     pub zone_fees: Vec<f64>,
-    pub list_must_be_asked: bool,
+    /// Where the list must be asked for: the interval in which the rules want a call. None: it comes by itself.
+    pub ask_within: Option<Micros>,
     pub rules: RuleTerms,
     /// The shortest time between two rounds.
     pub round: Micros,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,12 +1,13 @@
 //! The decision core of opalpulley: a dispatcher of notifications to outside receivers.
 //!
-//! [`rules`] holds every decision (`line` keeps the order of those that wait, `bucket` the arithmetic of rates: neither decides),
-//! [`interface`] the plain data that goes in and out. None knows of any
+//! [`rules`] holds every decision on packets and targets (`line` keeps the order of those that wait, `bucket` the arithmetic
+//! of rates: neither decides), `membership` when the list is asked for, [`interface`] the plain data that goes in and out. None knows of any
 //! wire: a front end translates its protocol into [`interface::Event`]s and carries out the [`interface::Action`]s.
 
 mod bucket;
 pub mod interface;
 mod line;
+mod membership;
 pub mod rules;
 
 pub use interface::*;
--- /dev/null
+++ b/src/membership.rs
@@ -0,0 +1,71 @@
+//! When a forwarder asks discovery for the list, where the list must be asked for: decided without I/O or clock. The
+//! `Forwarder` owns one [`Asking`] and shows it every event; it holds no table.
+//!
+//! Discovery is shared by the whole fleet and turns calls away, or answers too late, once more are out than it can work
+//! off. Calls that fail together and are made again together keep it there for good: nobody hears anything. So the first
+//! call of each forwarder comes by chance within a window that grows with the fleet, and each failed call doubles it.
+
+use crate::interface::{Action, Event, ListNews, Micros, TermsOfCarriage, Token};
+use rand::Rng;
+
+const CALL_TIME: Micros = 50_000; // µs of discovery's time that a call may take: some tens a second, until it is known
+const FIRST_PART: Micros = 2; // one in so many of the interval within which the rules want a call, the first window at most
+const MOST_DOUBLINGS: u32 = 16; // of a window: past any interval that the rules may want
+const DUE: Token = Token(1); // of the alarm for a call; the core's own have 0
+
+#[derive(Debug, Default)]
+pub struct Asking {
+    begun: bool,
+    at: Option<Micros>,
+    asked: Micros,
+    failures: u32, // calls in a row, none of which held for long
+}
+
+impl Asking {
+    /// Adds the call for the list to the actions when it is due, and the alarm for it when it is put off.
+    pub fn handle(
+        &mut self,
+        now: Micros,
+        event: &Event,
+        terms: &TermsOfCarriage,
+        rng: &mut impl Rng,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(within) = terms.ask_within else { return };
+        let failed = matches!(event, Event::List(ListNews::Failed));
+        if failed || !self.begun {
+            self.begun = true;
+            let after = self.put_off(now, failed, within, terms.forwarders, rng);
+            actions.push(Action::Wake { after, token: DUE });
+        }
+        if self.at.take_if(|at| now >= *at).is_some() {
+            self.asked = now;
+            actions.push(Action::Watch { on: true });
+        }
+    }
+
+    /// Puts the next call off to a moment by chance within the window; gives how many µs that is from now.
+    fn put_off(
+        &mut self,
+        now: Micros,
+        failed: bool,
+        within: Micros,
+        fleet: u32,
+        rng: &mut impl Rng,
+    ) -> Micros {
+        // A call that held for so long had been answered: the row is over.
+        let held = now.saturating_sub(self.asked) > within;
+        self.failures = if failed && !held { self.failures + 1 } else { u32::from(failed) };
+        let doublings = self.failures.min(MOST_DOUBLINGS);
+        // A lone forwarder has nobody to meet at discovery, but does not ask all the time where nobody answers.
+        let others = Micros::from(fleet.saturating_sub(1));
+        let window = ((CALL_TIME * others).min(within / FIRST_PART) << doublings).min(within);
+        let least = if failed { (CALL_TIME << doublings).min(within / FIRST_PART) } else { 0 };
+        let wait = if window > least { rng.random_range(least..window) } else { least };
+        self.at = Some(now + wait);
+        wait
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,6 +6,7 @@
 use crate::bucket::Bucket;
 use crate::interface::*;
 use crate::line::{Entry, Line, Rank};
+use crate::membership::Asking;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -798,7 +799,7 @@
     states: BTreeMap<DestinationId, State>, // only where anything is under way: work follows these
     bids: Vec<(f64, DestinationId)>,
     woken: bool,
-    ask_at: Micros,
+    asking: Asking,
     refused: f64, // part of the latest trips, over all targets, that got no connection
     times: Times, // answer times over all targets
 }
@@ -821,17 +822,14 @@
             states: BTreeMap::new(),
             bids: Vec::new(),
             woken: false,
-            ask_at: 0,
+            asking: Asking::default(),
             refused: 0.0,
             times: Times::default(),
         }
     }
 
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
-        if self.terms.list_must_be_asked && now >= self.ask_at {
-            self.ask_at = Micros::MAX;
-            actions.push(Action::Watch { on: true });
-        }
+        self.asking.handle(now, &event, &self.terms, &mut self.rng, actions);
         match event {
             Event::List(news) => self.list(now, news),
             Event::Packet(arrival) => self.arrival(now, arrival),
@@ -847,9 +845,9 @@
             Event::ProbeAnswered { target, outcome, .. } => {
                 self.post.targets.push_back((target, ToTarget::Probed { outcome }));
             }
-            Event::Alarm { .. } => self.tick(now),
+            Event::Alarm { token: Token(0) } => self.tick(now),
             Event::Closing => self.terms.slots = 0,
-            Event::TripBegun { .. } | Event::Neighbour { .. } => {}
+            Event::Alarm { .. } | Event::TripBegun { .. } | Event::Neighbour { .. } => {}
         }
         self.settle(now, actions);
         self.deal(now, actions);
@@ -880,7 +878,7 @@
         let (mut entries, whole) = match news {
             ListNews::Changes(entries) => (entries, false),
             ListNews::Whole(entries) | ListNews::Cached(entries) => (entries, true),
-            ListNews::Failed => return self.ask_at = now + COME_BACK,
+            ListNews::Failed => return,
         };
         let named: BTreeSet<TargetId> = entries.iter().map(|e| e.target).collect();
         for (target, t) in self.targets.iter().filter(|(id, _)| whole && !named.contains(id)) {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -42,7 +42,7 @@
         tenants: Vec::new(),
         kinds: vec![KindTerms { routes_apart: false, per_call: 1 }],
         zone_fees: vec![0.0, 0.05],
-        list_must_be_asked: false,
+        ask_within: None,
         rules: RuleTerms {
             answer_slack: 20 * MS,
             drain_grace: 500 * MS,
