--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,7 @@
 //! The decision core of opalpulley: a dispatcher of notifications to outside receivers.
 //!
-//! [`rules`] holds every decision on packets and targets (`line` keeps the order of those that wait, `bucket` the arithmetic
-//! of rates: neither decides), `membership` when the list is asked for, [`interface`] the plain data that goes in and out. None knows of any
+//! [`rules`] holds every decision on packets and targets (`line` keeps the order of those that wait, `bucket` and `times`
+//! the arithmetic of rates and answer times: none decides), `membership` when the list is asked for, [`interface`] the plain data that goes in and out. None knows of any
 //! wire: a front end translates its protocol into [`interface::Event`]s and carries out the [`interface::Action`]s.
 
 mod bucket;
@@ -9,6 +9,7 @@
 mod line;
 mod membership;
 pub mod rules;
+mod times;
 
 pub use interface::*;
 pub use rules::Forwarder;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -7,6 +7,7 @@
 use crate::interface::*;
 use crate::line::{Entry, Line, Rank};
 use crate::membership::Asking;
+use crate::times::Times;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -40,7 +41,7 @@
 const MOST_REST: f64 = 2.0; // even shares' time, the longest rest: refusals may be others' doing
 const CUT: f64 = 0.85; // of the pace, after a refusal at an even share's: mild, for one refusal tells little
 const EASE: f64 = 4.0; // seconds in which a rest shrinks to a third: a few refusals' worth
-const EASE_RESTS: f64 = 24.0; // rests, the same, and one a forwarder at least: each sees so little
+const EASE_RESTS: f64 = 24.0; // rests, the same where calls are few: a rest learned is kept for some calls
 const CATCH_UP: f64 = 0.05; // seconds of missed pace that may go at once: two looks
 const CATCH_REST: f64 = 0.5; // rests, the same: chance puts as much on a rest
 const COLD_MARGIN: f64 = 0.8; // of the cold budget that is used: capacity is only estimated, by others too
@@ -200,30 +201,6 @@
     }
 }
 
-#[derive(Clone, Copy, Default)]
-struct Times {
-    mean: f64,
-    deviation: f64,
-    count: f64, // answers learned from, up to what the short mean spans
-}
-
-impl Times {
-    fn learn(&mut self, took: f64) {
-        if self.count == 0.0 {
-            (self.mean, self.deviation) = (took, took / 2.0);
-        }
-        self.count = (self.count + 1.0).min(1.0 / NEW_ANSWER);
-        self.deviation += 2.0 * NEW_ANSWER * ((took - self.mean).abs() - self.deviation);
-        self.mean += NEW_ANSWER * (took - self.mean);
-    }
-
-    /// One's own as far as they go, for the rest those of all: few answers tell little.
-    fn with(&self, all: &Times, of: fn(&Times) -> f64) -> f64 {
-        let own = (self.count / FEW).min(1.0);
-        own * of(self) + (1.0 - own) * of(all)
-    }
-}
-
 #[derive(Default)]
 struct Gate {
     capacity: f64, // calls a second that it takes from all forwarders together, as told last
@@ -240,12 +217,11 @@
         f64::from(terms.forwarders.max(1)) * SECOND / self.capacity
     }
 
-    fn ease(&mut self, now: Micros, forwarders: u32) {
+    fn ease(&mut self, now: Micros) {
         let passed = now.saturating_sub(self.eased) as f64 / SECOND;
         self.eased = now;
         if std::mem::take(&mut self.short) && now >= self.held {
-            let rests = EASE_RESTS.max(forwarders.into());
-            self.rest *= (-passed / EASE.max(rests * self.rest / SECOND)).exp();
+            self.rest *= (-passed / EASE.max(EASE_RESTS * self.rest / SECOND)).exp();
         }
         if self.rest < FIRST_REST / 2.0 * SECOND / self.capacity {
             self.rest = 0.0;
@@ -405,7 +381,7 @@
         if self.gates.len() > self.cards.len() {
             self.gates.retain(|t, gate| listed(*t) || gate.held > desk.now);
         }
-        self.gates.values_mut().for_each(|gate| gate.ease(desk.now, desk.terms.forwarders));
+        self.gates.values_mut().for_each(|gate| gate.ease(desk.now));
         let ready = self.cards.values().filter(|c| c.ready).count().max(1) as f64;
         for target in self.cards.keys() {
             let Some(gate) = self.gates.get(&self.apart.then_some(*target)) else { continue };
@@ -654,7 +630,7 @@
             Outcome::CalledOff | Outcome::Moot { .. } => return,
             Outcome::Delivered => {
                 (self.answered, self.failures) = (desk.now, 0);
-                self.times.learn(took as f64);
+                self.times.learn(took as f64, NEW_ANSWER);
                 if self.aside() {
                     self.health = Health::Warming(desk.now);
                     self.recent.clear();
@@ -733,8 +709,9 @@
         }
         let may = desk.terms.may_probe && self.standing == Standing::Ready && !held;
         if may && self.health == Health::Aside && desk.now >= self.next_probe && self.budget.left >= 1.0 {
-            // A packet serves as the probe where calls are few, else by chance: probes alone may fail.
-            if scant || desk.rng.random_bool(PACKET_TRIES) {
+            // A packet serves as the probe where a second call would come late, else by chance: probes may fail.
+            let late = even * Packet::ahead(desk.terms)[2] < SECOND;
+            if scant || late || desk.rng.random_bool(PACKET_TRIES) {
                 return self.health = Health::Probed;
             }
             self.budget.left -= 1.0;
@@ -752,7 +729,7 @@
     }
 
     fn places(&self, all: &Times) -> usize {
-        let busy = self.capacity * self.times.with(all, |t| t.mean) / SECOND;
+        let busy = self.capacity * self.times.with(all, FEW, |t| t.mean) / SECOND;
         ((1.0 + PLACES * busy).ceil() as usize).max(FIRST_PLACES)
     }
 
@@ -765,7 +742,7 @@
             Health::Probed | Health::Warming(_) => room.min(cold),
         };
         let failed = self.recent.iter().filter(|s| !**s).count();
-        let late = self.times.with(desk.times, |t| t.mean + TAIL / 2.0 * t.deviation);
+        let late = self.times.with(desk.times, FEW, |t| t.mean + TAIL / 2.0 * t.deviation);
         let slow = late > 0.0 && self.silent(desk.now, late) > 0;
         let aside = self.aside();
         self.card = Card {
@@ -776,8 +753,8 @@
             troubled: aside || slow || failed >= TROUBLED_FAILURES,
             still: self.calls.is_empty()
                 && (self.health == Health::Well || self.even(desk.now, desk.terms).1),
-            answer_time: self.times.with(desk.times, |t| t.mean),
-            trip_time: self.times.with(desk.times, |t| t.mean + TAIL * t.deviation).max(SILENCE as f64),
+            answer_time: self.times.with(desk.times, FEW, |t| t.mean),
+            trip_time: self.times.with(desk.times, FEW, |t| t.mean + TAIL * t.deviation).max(SILENCE as f64),
             ..self.card
         };
         self.card
@@ -838,7 +815,7 @@
             Event::Packet(arrival) => self.arrival(now, arrival),
             Event::TripEnded { id, target, outcome, took, closed, .. } => {
                 if outcome == Outcome::Delivered {
-                    self.times.learn(took as f64);
+                    self.times.learn(took as f64, NEW_ANSWER);
                 }
                 let refused = f64::from(u8::from(outcome == Outcome::NoConnection));
                 self.refused += NEW_REFUSED * (refused - self.refused);
