--- /dev/null
+++ b/src/hearsay/tests.rs
@@ -0,0 +1,72 @@
+use super::note::{read, write, BadNote};
+use super::*;
+use crate::membership::tests::terms;
+use quickcheck::{Gen, QuickCheck};
+
+const MS: Micros = 1_000;
+
+fn telling(forwarders: u32) -> TermsOfCarriage {
+    TermsOfCarriage { may_tell: true, ..terms(forwarders) }
+}
+
+/// What it makes of a note, and whether it logs a line.
+fn hear(hearsay: &mut Hearsay, now: Micros, note: &[u8]) -> (Option<DestinationId>, bool) {
+    let mut actions = Vec::new();
+    let at = hearsay.heard(now, 4, note, |d| d.0 < 1_000, &mut actions);
+    let logged = matches!(&actions[..], [Action::Log(line)] if line.contains("forwarder 4"));
+    assert!(logged || actions.is_empty());
+    (at, logged)
+}
+
+/// A refusal is told once a second by the whole fleet, and never where nobody may tell or nobody listens.
+#[test]
+fn what_went_round_is_not_told_again_for_a_second() {
+    let (mut one, mut other) = (Hearsay::default(), Hearsay::default());
+    let at = DestinationId(700);
+    let Some(Action::Tell { neighbour: None, note }) = one.refused(0, at, &telling(3)) else {
+        panic!("not told")
+    };
+    assert!(one.refused(999 * MS, at, &telling(3)).is_none());
+    assert_eq!(hear(&mut other, 10 * MS, &note), (Some(at), false));
+    assert_eq!(hear(&mut other, 20 * MS, &note), (None, false), "a note that comes twice");
+    assert!(other.refused(500 * MS, at, &telling(3)).is_none(), "all know");
+    assert!(other.refused(500 * MS, DestinationId(1), &telling(3)).is_some());
+    assert!(other.refused(1_100 * MS, at, &telling(3)).is_some());
+    assert!(Hearsay::default().refused(0, at, &telling(1)).is_none());
+    assert!(Hearsay::default().refused(0, at, &terms(3)).is_none());
+}
+
+#[test]
+fn notes_that_cannot_be_used_are_passed_over_with_one_line_a_minute() {
+    for (bad, why) in [
+        (vec![], BadNote::Length(0)),
+        (vec![1; 256], BadNote::Length(256)),
+        (vec![2, 1, 0, 0], BadNote::Version(2)),
+        (vec![1, 9, 0, 0], BadNote::Subject(9)),
+    ] {
+        assert_eq!(read(&bad), Err(why));
+        assert_eq!(hear(&mut Hearsay::default(), 0, &bad), (None, true));
+    }
+    let mut hearsay = Hearsay::default();
+    let lines = (0..600).filter(|s| hear(&mut hearsay, s * 100 * MS, &[]).1).count();
+    assert_eq!(lines, 1);
+    assert!(hear(&mut hearsay, 60_000 * MS, &[]).1);
+}
+
+/// Whatever comes: no panic, only destinations of the list, and a table no longer than what a second brings.
+#[test]
+fn any_bytes_leave_a_small_table() {
+    fn holds(notes: Vec<(u8, u16, Vec<u8>)>) -> bool {
+        let mut hearsay = Hearsay::default();
+        let mut now = 0;
+        notes.into_iter().all(|(gap, at, bytes)| {
+            now += Micros::from(gap) * MS + AGAIN / 8;
+            let (heard, logged) = hear(&mut hearsay, now, &write(DestinationId(at)));
+            hear(&mut hearsay, now, &bytes);
+            !logged && heard.is_none_or(|d| d.0 == at && at < 1_000) && hearsay.spoken.len() <= 16
+        })
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(1_200, 20_261_201))
+        .quickcheck(holds as fn(Vec<(u8, u16, Vec<u8>)>) -> bool);
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -295,6 +295,8 @@
     pub may_probe: bool,
     pub may_call_off: bool,
     pub may_say_when: bool,
+    /// Forwarders may send each other notes.
+    pub may_tell: bool,
     /// The longest return time that clients follow.
     pub longest_return: Micros,
     pub list_rates: ListRates,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,10 +1,12 @@
 //! The decision core of opalpulley: a dispatcher of notifications to outside receivers.
 //!
 //! [`rules`] holds every decision on packets and targets (`line` keeps the order of those that wait, `bucket` and `times`
-//! the arithmetic of rates and answer times: none decides), `membership` when the list is asked for, [`interface`] the plain data that goes in and out. None knows of any
+//! the arithmetic of rates and answer times: none decides), `membership` when the list is asked for,
+//! `hearsay` what forwarders tell each other, [`interface`] the plain data that goes in and out. None knows of any
 //! wire: a front end translates its protocol into [`interface::Event`]s and carries out the [`interface::Action`]s.
 
 mod bucket;
+mod hearsay;
 pub mod interface;
 mod line;
 mod membership;
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -68,4 +68,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -7,7 +7,7 @@
 const TIMEOUT: Micros = 2_000 * MS;
 const WITHIN: Micros = 10_000 * MS;
 
-fn terms(forwarders: u32) -> TermsOfCarriage {
+pub(crate) fn terms(forwarders: u32) -> TermsOfCarriage {
     let rules = RuleTerms {
         answer_slack: 0,
         drain_grace: 0,
@@ -26,6 +26,7 @@
         may_probe: false,
         may_call_off: false,
         may_say_when: false,
+        may_tell: false,
         longest_return: 0,
         list_rates: ListRates::Untold,
         fading: Fading::Evenly,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,6 +4,7 @@
 //! probing, drain, cold ramp). `Post` keeps an inbox for each; `Forwarder::settle` empties them.
 
 use crate::bucket::Bucket;
+use crate::hearsay::Hearsay;
 use crate::interface::*;
 use crate::line::{Entry, Line, Rank};
 use crate::membership::Asking;
@@ -95,6 +96,7 @@
     Left(TargetId),
     Card { target: TargetId, card: Card },
     Tick { patiences: f64 },
+    AtLimit,
     Offer,
     Award,
     Shed,
@@ -235,13 +237,24 @@
         self.next = self.next.max(desk.now.saturating_sub(missed)) + rest as Micros;
     }
 
+    fn longest(terms: &TermsOfCarriage) -> f64 {
+        LONGEST_WAIT * terms.profiles.iter().map(|p| p.expiry).max().unwrap_or(0) as f64
+    }
+
+    /// Guards a limit against all who have yet to learn of it, each by a refusal: another has met one.
+    fn heard(&mut self, desk: &mut Desk) {
+        let rest = (EVEN_REST * self.even(desk.terms)).min(Gate::longest(desk.terms));
+        if self.rest < rest {
+            (self.rest, self.grown) = (rest, desk.now);
+            self.next = self.next.max(desk.now + (rest * desk.rng.random::<f64>()) as Micros);
+        }
+    }
+
     /// Guards against refusals that breed refusals: each lengthens the rest between our calls.
     fn refused(&mut self, sent: Micros, wait: Option<Micros>, desk: &mut Desk) {
-        let first = (FIRST_REST * SECOND / self.capacity).max(FIRST_SHARE * self.even(desk.terms));
         if sent >= self.grown {
-            let even = MOST_REST * self.even(desk.terms);
-            let expiry = desk.terms.profiles.iter().map(|p| p.expiry).max().unwrap_or(0);
-            let most = even.min(LONGEST_WAIT * expiry as f64).max(first);
+            let first = (FIRST_REST * SECOND / self.capacity).max(FIRST_SHARE * self.even(desk.terms));
+            let most = (MOST_REST * self.even(desk.terms)).min(Gate::longest(desk.terms)).max(first);
             let mild = self.rest.max(EVEN_REST * self.even(desk.terms)) / CUT;
             self.rest = (2.0 * self.rest).min(mild).clamp(first, most);
             self.grown = desk.now;
@@ -305,6 +318,8 @@
             }
             ToDestination::Card { target, card } => _ = self.cards.entry(target).and_modify(|c| *c = card),
             ToDestination::Tick { patiences } => self.tick(0.0, patiences, desk),
+            // Not where routes are apart: each is at a limit of its own.
+            ToDestination::AtLimit => self.gates.get_mut(&None).into_iter().for_each(|g| g.heard(desk)),
             ToDestination::Offer => self.bid(desk),
             ToDestination::Award => self.carry(desk),
             ToDestination::Shed => self.shed(desk),
@@ -378,9 +393,7 @@
 
     fn tick(&mut self, demand: f64, patiences: f64, desk: &mut Desk) {
         let listed = |t: Option<TargetId>| t.map_or(!self.cards.is_empty(), |t| self.cards.contains_key(&t));
-        if self.gates.len() > self.cards.len() {
-            self.gates.retain(|t, gate| listed(*t) || gate.held > desk.now);
-        }
+        self.gates.retain(|t, gate| listed(*t) || gate.held > desk.now);
         self.gates.values_mut().for_each(|gate| gate.ease(desk.now));
         let ready = self.cards.values().filter(|c| c.ready).count().max(1) as f64;
         for target in self.cards.keys() {
@@ -780,6 +793,7 @@
     bids: Vec<(f64, DestinationId)>,
     woken: bool,
     asking: Asking,
+    hearsay: Hearsay,
     refused: f64, // part of the latest trips, over all targets, that got no connection
     times: Times, // answer times over all targets
 }
@@ -803,6 +817,7 @@
             bids: Vec::new(),
             woken: false,
             asking: Asking::default(),
+            hearsay: Hearsay::default(),
             refused: 0.0,
             times: Times::default(),
         }
@@ -819,6 +834,8 @@
                 }
                 let refused = f64::from(u8::from(outcome == Outcome::NoConnection));
                 self.refused += NEW_REFUSED * (refused - self.refused);
+                let full = self.targets.get(&target).filter(|_| matches!(outcome, Outcome::Full { .. }));
+                actions.extend(full.and_then(|t| self.hearsay.refused(now, t.destination, &self.terms)));
                 self.pass_on(id, ToDestination::Over { id, target, outcome, took, closed });
             }
             Event::Withdrawn { id } => self.pass_on(id, ToDestination::Withdrawn(id)),
@@ -827,7 +844,12 @@
             }
             Event::Alarm { token: Token(0) } => self.tick(now),
             Event::Closing => self.terms.slots = 0,
-            Event::Alarm { .. } | Event::TripBegun { .. } | Event::Neighbour { .. } => {}
+            Event::Neighbour { from, note } => {
+                let known = |at| self.destinations.contains_key(&at);
+                let at = self.hearsay.heard(now, from, &note, known, actions);
+                self.post.destinations.extend(at.map(|at| (at, ToDestination::AtLimit)));
+            }
+            Event::Alarm { .. } | Event::TripBegun { .. } => {}
         }
         self.settle(now, actions);
         self.deal(now, actions);
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -440,6 +440,37 @@
     Ok(())
 }
 
+/// Each of hundreds once learned of a limit by a refusal of its own, and refused calls use the limit up.
+#[test]
+fn at_size_one_refusal_is_enough_for_all() -> Checked {
+    let mut refused = fleet().next().ok_or("a forwarder")?;
+    let id = refused.arrive(0, 0, None, 8_000 * MS)?;
+    refused.end(id, Outcome::Full { wait: None })?;
+    let told = refused.actions.iter().find_map(|a| match a {
+        Action::Tell { neighbour: None, note } => Some(note.clone()),
+        _ => None,
+    });
+    let note = told.ok_or("it tells nobody")?;
+    let calls = |news: Option<&Vec<u8>>| -> Result<usize, String> {
+        let mut calls = 0;
+        for mut world in fleet() {
+            if let Some(note) = news {
+                (0..3).try_for_each(|_| world.give(Event::Neighbour { from: 7, note: note.clone() }))?;
+            }
+            (0..2).try_for_each(|_| world.arrive(0, 0, None, 8_000 * MS).map(drop))?;
+            world.pass(200 * MS)?;
+            calls += world.out().len();
+            // It is no more than a rest: told again and again, the packets go all the same.
+            world.pass(4_500 * MS)?;
+            assert!(world.packets.values().any(|p| !p.trips.is_empty()));
+        }
+        Ok(calls)
+    };
+    let (without, with) = (calls(None)?, calls(Some(&note))?);
+    assert!(without >= 40 && with <= 8, "{without} calls of 40 forwarders, {with} after the note");
+    Ok(())
+}
+
 /// A probe takes a call of the cold budget; the next one came seconds later, and the packets waited on.
 #[test]
 fn at_size_a_packet_serves_as_the_probe() -> Checked {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -34,6 +34,7 @@
         may_probe: true,
         may_call_off: true,
         may_say_when: true,
+        may_tell: true,
         longest_return: 2_000 * MS,
         list_rates: ListRates::Nominal,
         fading: Fading::Halving,
