Laboratory: fleets that meet an overbooked discovery, clumps and a cold return

The laboratory could not: its list came by itself, refused calls cost a limit nothing, notes went nowhere. Change: the simulated clock has a discovery that is asked and works off one call after the other (network.asked), notes between forwarders (forwarders.may_tell), limits that refused calls use up (refused_count). Where nobody listens for notes (no peers in the start papers), none are told: the log would have filled with dropped ones.

--- a/crates/forwarder/src/papers.rs
+++ b/crates/forwarder/src/papers.rs
@@ -151,6 +151,9 @@
         let rest = room - waybill.terms.slots as usize;
         // The protocol on sockets carries one packet in a call.
         waybill.terms.kinds.iter_mut().for_each(|k| k.per_call = 1);
+        // Nothing can be told where nobody listens.
+        let (neighbours, all) = (file.peer_listen.is_some() && !file.peers.is_empty(), file.peers_all);
+        waybill.terms.may_tell &= neighbours && all.is_some();
         let state = var("GW_STATE").ok_or_else(|| bad("GW_STATE", "is not set"))?;
         if !std::path::Path::new(&state).is_dir() {
             return Err(bad("GW_STATE", format!("{state} is no folder")));
--- a/crates/lab/src/receivers.rs
+++ b/crates/lab/src/receivers.rs
@@ -73,6 +73,8 @@
     tokens: f64,
     filled: Micros,
     limited: bool,
+    /// Calls that may be owed: refused ones use the limit up, as far as this.
+    owes: f64,
     wait: Micros,
 }
 
@@ -82,6 +84,9 @@
         self.tokens = (self.tokens + passed * self.rate * part).min(self.burst.max(1.0));
         self.filled = now;
         let room = !self.limited || self.tokens >= 1.0;
+        if !room {
+            self.tokens = (self.tokens - 1.0).max(-self.owes).min(self.tokens);
+        }
         if room && self.limited {
             self.tokens -= 1.0;
         }
@@ -164,7 +169,15 @@
                 .map(|g| {
                     let d = &scenario.destinations[groups[g]];
                     let burst = d.burst.unwrap_or(d.rate);
-                    Gate { rate: d.rate, burst, tokens: burst, filled: 0, limited: d.limited, wait: d.wait.0 }
+                    Gate {
+                        rate: d.rate,
+                        burst,
+                        tokens: burst,
+                        filled: 0,
+                        limited: d.limited,
+                        owes: if d.refused_count { burst } else { 0.0 },
+                        wait: d.wait.0,
+                    }
                 })
                 .collect(),
             targets: layout.targets.iter().enumerate().map(target).collect(),
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -91,6 +91,8 @@
     pub may_probe: bool,
     pub may_call_off: bool,
     pub may_say_when: bool,
+    /// They may send each other notes (simulated clock only).
+    pub may_tell: bool,
     /// The longest return time that clients follow.
     pub longest_return: Span,
     pub fading: Fading,
@@ -110,6 +112,7 @@
             may_probe: true,
             may_call_off: true,
             may_say_when: true,
+            may_tell: false,
             longest_return: Span(2_000_000),
             fading: Fading::Halving,
             clocks_differ: Span(0),
@@ -135,11 +138,27 @@
     pub list_lag: Span,
     /// A connection that takes longer to come up counts as none.
     pub connect_within: Span,
+    /// The list is told to those that ask for it; left out, it comes by itself (simulated clock only).
+    pub asked: Option<Asked>,
+}
+
+/// A discovery that is asked: it works off one call after the other.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Asked {
+    /// The rules want a call of each forwarder within this time.
+    pub within: Span,
+    /// What one call takes of discovery's time.
+    pub call: Span,
+    /// A call that waits for longer has failed, and is worked off all the same.
+    pub patience: Span,
+    /// A call that would wait for longer is turned away at once.
+    pub turned_away: Span,
 }
 
 impl Default for Network {
     fn default() -> Network {
-        Network { delay: Span(300), list_lag: Span(200_000), connect_within: Span(1_000_000) }
+        Network { delay: Span(300), list_lag: Span(200_000), connect_within: Span(1_000_000), asked: None }
     }
 }
 
@@ -224,6 +243,9 @@
     /// Calls over the rate that may come at once; where it is not told, a second's worth.
     #[serde(default)]
     pub burst: Option<f64>,
+    /// Refused calls use the limit up as well, as far as a burst.
+    #[serde(default)]
+    pub refused_count: bool,
     /// Told with 429 above the limit; 0 tells nothing.
     #[serde(default)]
     pub wait: Span,
--- a/crates/lab/src/scenario/terms.rs
+++ b/crates/lab/src/scenario/terms.rs
@@ -31,7 +31,7 @@
             may_probe: crew.may_probe,
             may_call_off: crew.may_call_off,
             may_say_when: crew.may_say_when,
-            may_tell: false,
+            may_tell: crew.may_tell,
             longest_return: crew.longest_return.0,
             list_rates: ListRates::Nominal,
             fading: match crew.fading {
@@ -43,7 +43,7 @@
             tenants: self.tenants.iter().map(|t| TenantTerms { quota: t.quota }).collect(),
             kinds: [false, true].map(|routes_apart| KindTerms { routes_apart, per_call: 1 }).to_vec(),
             zone_fees: vec![0.0, 0.0],
-            ask_within: None,
+            ask_within: self.network.asked.as_ref().map(|a| a.within.0),
             rules: RuleTerms {
                 answer_slack: self.rules.answer_slack.0,
                 drain_grace: self.rules.drain_grace.0,
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -61,6 +61,17 @@
         forwarder: u32,
         news: ListNews,
     },
+    /// A call for the list is answered, or has failed.
+    Asked {
+        forwarder: u32,
+        life: u32,
+        told: bool,
+    },
+    Note {
+        from: u32,
+        to: u32,
+        note: Vec<u8>,
+    },
     Trouble {
         number: usize,
         on: bool,
@@ -139,6 +150,9 @@
     pub core_events: u64,
     pub core_actions: u64,
     pub most_held: usize,
+    /// Calls for the list, and forwarders that discovery does not tell of changes at the end.
+    pub list_calls: u64,
+    pub unheard: usize,
 }
 
 pub struct Sim {
@@ -165,6 +179,8 @@
     lags: Pcg64Mcg,
     /// Until when discovery tells nothing.
     stale_until: Micros,
+    /// Until when discovery has calls to work off.
+    discovery_busy: Micros,
     pending_troubles: usize,
     work: Work,
 }
@@ -196,6 +212,7 @@
             clients: stream(seed, "clients", 0),
             lags: stream(seed, "lags", 0),
             stale_until: 0,
+            discovery_busy: 0,
             pending_troubles: 0,
             work: Work::default(),
         };
@@ -229,6 +246,7 @@
             self.happen(what);
         }
         self.tally.counts.open = self.packets.len() as u64;
+        self.work.unheard = self.stations.iter().filter(|s| s.up() && !s.hears).count();
         for fall in &self.receivers.falls {
             if fall.blamed {
                 let what = format!(
@@ -297,6 +315,11 @@
                 );
             }
             Happening::News { forwarder, news } => self.news(forwarder, news),
+            Happening::Asked { forwarder, life, told } => self.asked(forwarder, life, told),
+            Happening::Note { from, to, note } => {
+                let life = self.stations[to as usize].life;
+                self.give(to, life, Event::Neighbour { from: from as u16, note });
+            }
             Happening::Trouble { number, on } => self.trouble(number, on),
             Happening::Drains { target, gone } => self.drains(target, gone),
             Happening::Back { forwarder, folder } => self.back(forwarder, folder),
--- a/crates/lab/src/sim/stations.rs
+++ b/crates/lab/src/sim/stations.rs
@@ -41,6 +41,8 @@
     /// How far its clock is ahead.
     ahead: Micros,
     pub listed: BTreeMap<usize, Listing>,
+    /// Discovery tells it what changes.
+    pub hears: bool,
     /// When the latest news reach it: they stay in order.
     pub news_at: Micros,
 }
@@ -59,6 +61,7 @@
             // A second on top: no clock starts at nought.
             ahead: 1_000_000 + stream(seed, "clock", u64::from(number)).random_range(0..=most),
             listed: BTreeMap::new(),
+            hears: false,
             news_at: 0,
         }
     }
@@ -89,6 +92,7 @@
         let subject = self.make.build(self.scenario.terms(forwarder), seed);
         let station = &mut self.stations[forwarder as usize];
         station.subject = Some(subject);
+        station.hears = self.scenario.network.asked.is_none();
         if station.listed.is_empty() {
             for (target, (holder, standing)) in self.standing.iter().enumerate() {
                 let listing = self.layout.listing(&self.scenario.destinations, target, *holder, *standing);
@@ -188,11 +192,17 @@
             Action::CloseIdle { target } => {
                 self.connections[Layout::target(target)].idle.remove(&forwarder);
             }
-            Action::Watch { .. }
-            | Action::FetchList
-            | Action::Tell { .. }
-            | Action::Log(_)
-            | Action::Fault(_) => {}
+            Action::Watch { on: true } => self.ask(forwarder),
+            Action::Tell { neighbour, note } => {
+                let others = (0..self.stations.len() as u32).filter(|to| *to != forwarder);
+                for to in
+                    others.filter(|to| neighbour.is_none_or(|n| u32::from(n) == *to)).collect::<Vec<_>>()
+                {
+                    let (at, note) = (self.now + self.scenario.network.delay.0, note.clone());
+                    self.arrange(at, Happening::Note { from: forwarder, to, note });
+                }
+            }
+            Action::Watch { .. } | Action::FetchList | Action::Log(_) | Action::Fault(_) => {}
         }
     }
 
@@ -356,7 +366,9 @@
     pub(super) fn back(&mut self, forwarder: u32, folder: bool) {
         self.oracle.excuse(forwarder, self.now + READY);
         self.start(forwarder);
-        self.catch_up(forwarder);
+        if self.stations[forwarder as usize].hears {
+            self.catch_up(forwarder);
+        }
         if !folder {
             return;
         }
@@ -388,8 +400,8 @@
     /// Tells a forwarder what discovery has for it, in order.
     pub(super) fn news(&mut self, forwarder: u32, news: ListNews) {
         let station = &mut self.stations[forwarder as usize];
-        if !station.up() {
-            return; // it catches up at its start
+        if !station.up() || !station.hears {
+            return; // it catches up at its start, or as it asks
         }
         let (entries, whole) = match &news {
             ListNews::Changes(entries) => (entries.clone(), false),
--- a/crates/lab/src/sim/tests.rs
+++ b/crates/lab/src/sim/tests.rs
@@ -74,3 +74,39 @@
     );
     assert!(outcome.counts.written_off > 0, "{:?}", outcome.counts);
 }
+
+/// Most of a fleet starts anew while discovery has more calls than it can work off: in the end it tells all of them, and
+/// is not asked much more often than once for each start. Calls made again each second would keep it full for good.
+#[test]
+fn an_overbooked_discovery_tells_a_fleet_that_starts_at_once() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../lab/scenarios/fleet-restart-full.toml");
+    let scenario = Scenario::load(std::path::Path::new(path)).expect("it is right");
+    for seed in 1..=3 {
+        let sim = Sim::new(&scenario, seed, Make::True).expect("it starts");
+        let (outcome, work) = sim.run_until(Micros::MAX, |_, _| {});
+        assert!(outcome.broken.is_empty(), "{:?}", outcome.breaks);
+        assert_eq!(work.unheard, 0, "seed {seed}: {} calls for the list", work.list_calls);
+        assert!(work.list_calls <= 400, "seed {seed}: {} calls for some 170 starts", work.list_calls);
+    }
+}
+
+/// Where forwarders may tell each other of refusals, fewer calls are refused and more packets served.
+#[test]
+fn notes_spare_refusals_where_a_clump_meets_a_fleet() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../lab/scenarios/fleet-limits-full.toml");
+    let mut scenario = Scenario::load(std::path::Path::new(path)).expect("it is right");
+    let mut sums = [(0, 0); 2];
+    for (sum, may_tell) in sums.iter_mut().zip([true, false]) {
+        scenario.forwarders.may_tell = may_tell;
+        for seed in 1..=3 {
+            let outcome = run(&scenario, seed, Make::True);
+            assert!(outcome.broken.is_empty(), "{:?}", outcome.breaks);
+            *sum = (
+                sum.0 + outcome.counts.served,
+                sum.1 + outcome.counts.outcomes.get("refused").copied().unwrap_or(0),
+            );
+        }
+    }
+    let [(served, refused), (served_alone, refused_alone)] = sums;
+    assert!(served > served_alone && 2 * refused < refused_alone, "{sums:?}");
+}
--- a/crates/lab/src/sim/troubles.rs
+++ b/crates/lab/src/sim/troubles.rs
@@ -3,7 +3,7 @@
 use super::{Happening, Sim};
 use crate::scenario::What;
 use crate::world::Layout;
-use opalpulley::{ListNews, Listing, Micros, Standing};
+use opalpulley::{Event, ListNews, Listing, Micros, Standing};
 use rand::Rng;
 
 impl Sim {
@@ -93,6 +93,35 @@
         }
     }
 
+    /// A call for the list: worked off in turn, too late for its caller or not.
+    pub(super) fn ask(&mut self, forwarder: u32) {
+        let Some(asked) = &self.scenario.network.asked else { return };
+        self.work.list_calls += 1;
+        let wait = self.discovery_busy.saturating_sub(self.now) + asked.call.0;
+        let (after, told) = match wait {
+            _ if wait > asked.turned_away.0 => (2 * self.scenario.network.delay.0, false),
+            _ => {
+                self.discovery_busy = self.now + wait;
+                (wait.min(asked.patience.0), wait <= asked.patience.0)
+            }
+        };
+        let life = self.stations[forwarder as usize].life;
+        self.arrange(self.now + after, Happening::Asked { forwarder, life, told });
+    }
+
+    pub(super) fn asked(&mut self, forwarder: u32, life: u32, told: bool) {
+        let station = &mut self.stations[forwarder as usize];
+        if station.life != life || !station.up() {
+            return;
+        }
+        if told {
+            station.hears = true;
+            self.catch_up(forwarder);
+        } else {
+            self.give(forwarder, life, Event::List(ListNews::Failed));
+        }
+    }
+
     /// A forwarder that was away hears the whole list.
     pub(super) fn catch_up(&mut self, forwarder: u32) {
         let list = self.list();
