After standing still a forwarder reads its news before it sends: drains kept

At fault: Forwarder::handle sends in the event that ends a standstill, whatever waits behind it. Change: where the next look at the timers comes later than half the grace of drains after it was due, nothing is sent for one look more. The histories of the random test hear true and false notes of other forwarders as well.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -225,9 +225,7 @@
         if std::mem::take(&mut self.short) && now >= self.held {
             self.rest *= (-passed / EASE.max(EASE_RESTS * self.rest / SECOND)).exp();
         }
-        if self.rest < FIRST_REST / 2.0 * SECOND / self.capacity {
-            self.rest = 0.0;
-        }
+        self.rest *= f64::from(u8::from(self.rest >= FIRST_REST / 2.0 * SECOND / self.capacity));
     }
 
     /// Takes one call on: the next goes after the rest, give or take half, so that senders fall out of step.
@@ -757,13 +755,12 @@
         let failed = self.recent.iter().filter(|s| !**s).count();
         let late = self.times.with(desk.times, FEW, |t| t.mean + TAIL / 2.0 * t.deviation);
         let slow = late > 0.0 && self.silent(desk.now, late) > 0;
-        let aside = self.aside();
         self.card = Card {
             open,
             calls: self.calls.len(),
             ready: self.standing == Standing::Ready,
-            aside,
-            troubled: aside || slow || failed >= TROUBLED_FAILURES,
+            aside: self.aside(),
+            troubled: self.aside() || slow || failed >= TROUBLED_FAILURES,
             still: self.calls.is_empty()
                 && (self.health == Health::Well || self.even(desk.now, desk.terms).1),
             answer_time: self.times.with(desk.times, FEW, |t| t.mean),
@@ -791,7 +788,8 @@
     shares: Vec<Bucket>,              // what is left of each tenant's share
     states: BTreeMap<DestinationId, State>, // only where anything is under way: work follows these
     bids: Vec<(f64, DestinationId)>,
-    woken: bool,
+    look: Option<Micros>, // when the next look at all timers is due
+    still: Micros,        // until when nothing is sent: it stood still
     asking: Asking,
     hearsay: Hearsay,
     refused: f64, // part of the latest trips, over all targets, that got no connection
@@ -800,9 +798,7 @@
 
 impl Forwarder {
     pub fn new(mut terms: TermsOfCarriage, seed: u64) -> Forwarder {
-        if terms.profiles.is_empty() {
-            terms.profiles.push(ProfileTerms::default());
-        }
+        terms.profiles.resize_with(terms.profiles.len().max(1), ProfileTerms::default);
         let shares = terms.tenants.iter().map(|_| Bucket { left: f64::MAX, filled: 0 }).collect();
         Forwarder {
             terms,
@@ -815,7 +811,8 @@
             shares,
             states: BTreeMap::new(),
             bids: Vec::new(),
-            woken: false,
+            look: None,
+            still: 0,
             asking: Asking::default(),
             hearsay: Hearsay::default(),
             refused: 0.0,
@@ -824,6 +821,10 @@
     }
 
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+        // Guards drains against a process that stood still: what it was told meanwhile is read before it sends.
+        if self.look.is_some_and(|due| now > due + self.terms.rules.drain_grace / 2) {
+            (self.look, self.still) = (Some(now), now + TICK);
+        }
         self.asking.handle(now, &event, &self.terms, &mut self.rng, actions);
         match event {
             Event::List(news) => self.list(now, news),
@@ -853,8 +854,8 @@
         }
         self.settle(now, actions);
         self.deal(now, actions);
-        if !(self.woken || self.states.is_empty() && self.turns.is_empty()) {
-            self.woken = true;
+        if !(self.look.is_some() || self.states.is_empty() && self.turns.is_empty()) {
+            self.look = Some(now + TICK.max(self.terms.round));
             actions.push(Action::Wake { after: TICK.max(self.terms.round), token: Token(0) });
         }
     }
@@ -866,7 +867,7 @@
     }
 
     fn tick(&mut self, now: Micros) {
-        self.woken = false;
+        self.look = None;
         // Guards the slots: while none is free, patience is shorter.
         let patiences = if self.calls_out().0 >= self.terms.slots as usize { 1.0 } else { LONE };
         let tick = |id: &DestinationId| (*id, ToDestination::Tick { patiences });
@@ -1009,7 +1010,7 @@
 
     /// Offers free slots to the lines until none wants one: the packet that loses most by waiting goes first.
     fn deal(&mut self, now: Micros, actions: &mut Vec<Action>) {
-        let slots = self.terms.slots as usize;
+        let slots = if now < self.still { 0 } else { self.terms.slots as usize };
         let troubled_cap = ((CAP_ALL_TROUBLED * slots as f64) as usize).max(1);
         loop {
             let (out, out_troubled) = self.calls_out();
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -440,6 +440,20 @@
     Ok(())
 }
 
+/// A process that stood still once sent to targets that had been drained meanwhile, before it read the news that waited.
+#[test]
+fn after_standing_still_it_reads_before_it_sends() -> Checked {
+    let mut world = World::new(terms(), vec![listing(1, 0, 200.0), listing(2, 0, 200.0)]);
+    world.arrive(0, 0, None, 8_000 * MS)?;
+    world.now += 3_000 * MS;
+    let id = world.arrive(0, 0, None, 8_000 * MS)?;
+    assert!(sends(&world, id).is_empty(), "sent before what waits was read");
+    world.list(ListNews::Changes(vec![Listing { standing: Standing::Draining, ..listing(1, 0, 200.0) }]))?;
+    world.pass(100 * MS)?;
+    assert_eq!(world.packets[&id].trips.iter().map(|t| t.target).collect::<Vec<_>>(), [target(2)]);
+    Ok(())
+}
+
 /// Each of hundreds once learned of a limit by a refusal of its own, and refused calls use the limit up.
 #[test]
 fn at_size_one_refusal_is_enough_for_all() -> Checked {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -492,6 +492,12 @@
                     world.withdraw(id)?;
                 }
             }
+            98 if chance.random_bool(0.5) => {
+                // Of any forwarder, true or false, of a known destination or not, or no note at all.
+                let mut note = vec![1, 1, chance.random_range(0..4), 0];
+                note.truncate(if chance.random_bool(0.8) { 4 } else { chance.random_range(0..4) });
+                world.give(Event::Neighbour { from: chance.random(), note })?;
+            }
             98 if chance.random_bool(0.1) => world.die()?,
             98 if chance.random_bool(0.1) => world.restart()?,
             _ => {
