Laboratory: refused calls cost a limit something only where a world says so

Seen on reading the change again: Gate::take in receivers.rs, with refused_count left out, took what was under one token to nought on each refused call (max with -0.0), in every world with a limit. Now only where refused calls count. The terms have defaults, so the tests of membership need no copy of all of them (28 lines fewer).

--- a/crates/lab/src/receivers.rs
+++ b/crates/lab/src/receivers.rs
@@ -84,11 +84,10 @@
         self.tokens = (self.tokens + passed * self.rate * part).min(self.burst.max(1.0));
         self.filled = now;
         let room = !self.limited || self.tokens >= 1.0;
-        if !room {
-            self.tokens = (self.tokens - 1.0).max(-self.owes).min(self.tokens);
-        }
         if room && self.limited {
             self.tokens -= 1.0;
+        } else if !room && self.owes > 0.0 {
+            self.tokens = (self.tokens - 1.0).max(-self.owes);
         }
         room
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -230,9 +230,10 @@
 }
 
 /// How worth falls after the contract time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Fading {
     /// Evenly, down to the late share at expiry.
+    #[default]
     Evenly,
     /// By half with each further contract time, not under the late share.
     Halving,
@@ -262,8 +263,9 @@
     pub per_call: u32,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ListRates {
+    #[default]
     Untold,
     Nominal,
     /// Up to half too high or too low.
@@ -271,7 +273,7 @@
 }
 
 /// The figures of the rules.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct RuleTerms {
     pub answer_slack: Micros,
     pub drain_grace: Micros,
@@ -283,7 +285,7 @@
 }
 
 /// What a forwarder is told at its start.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct TermsOfCarriage {
     pub forwarder: u16,
     pub forwarders: u32,
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -1,5 +1,4 @@
 use super::*;
-use crate::interface::{Fading, ListRates, RuleTerms};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
@@ -8,37 +7,7 @@
 const WITHIN: Micros = 10_000 * MS;
 
 pub(crate) fn terms(forwarders: u32) -> TermsOfCarriage {
-    let rules = RuleTerms {
-        answer_slack: 0,
-        drain_grace: 0,
-        cold_from: 1.0,
-        warm_after: 0,
-        fall_multiple: 1.0,
-        overload_for: 0,
-        order_pause: 0,
-    };
-    TermsOfCarriage {
-        forwarder: 0,
-        forwarders,
-        slots: 1,
-        room: 1,
-        max_trips: 1,
-        may_probe: false,
-        may_call_off: false,
-        may_say_when: false,
-        may_tell: false,
-        longest_return: 0,
-        list_rates: ListRates::Untold,
-        fading: Fading::Evenly,
-        over_share_worth: 1.0,
-        profiles: Vec::new(),
-        tenants: Vec::new(),
-        kinds: Vec::new(),
-        zone_fees: Vec::new(),
-        ask_within: Some(WITHIN),
-        rules,
-        round: MS,
-    }
+    TermsOfCarriage { forwarders, ask_within: Some(WITHIN), ..TermsOfCarriage::default() }
 }
 
 /// One forwarder's asking, with its alarms.
