--- a/crates/forwarder/src/journal.rs
+++ b/crates/forwarder/src/journal.rs
@@ -70,6 +70,10 @@
                     }
                 }
             }
+            Record::TripTakenBack { trip, .. } => {
+                self.out.retain(|(t, ..)| t != trip);
+                self.trips = self.trips.min(u32::from(*trip));
+            }
             Record::Owes { ending, .. } => self.owed = Some(*ending),
             Record::Packet(_) | Record::Ended { .. } => {}
         }
@@ -83,6 +87,7 @@
     TripEnded { serial: u64, trip: u8, may_have_run: bool },
     Owes { serial: u64, ending: Ending },
     Ended { serial: u64 },
+    TripTakenBack { serial: u64, trip: u8 }, // last: records of earlier versions are told by their place
 }
 
 impl Record {
@@ -91,6 +96,7 @@
             Record::Packet(kept) => kept.serial,
             Record::TripStarted { serial, .. }
             | Record::TripEnded { serial, .. }
+            | Record::TripTakenBack { serial, .. }
             | Record::Owes { serial, .. }
             | Record::Ended { serial } => *serial,
         }
@@ -315,6 +321,11 @@
         self.append(Record::TripEnded { serial, trip, may_have_run })
     }
 
+    /// The trip never went: its number is free again.
+    pub fn trip_taken_back(&mut self, serial: u64, trip: u8) -> io::Result<()> {
+        self.append(Record::TripTakenBack { serial, trip })
+    }
+
     /// The packet's end is decided; the platform has still to hear of it.
     pub fn owes(&mut self, serial: u64, ending: Ending) -> io::Result<()> {
         self.append(Record::Owes { serial, ending })
--- a/crates/forwarder/src/journal/tests.rs
+++ b/crates/forwarder/src/journal/tests.rs
@@ -206,3 +206,18 @@
         .tests(120)
         .quickcheck(run as fn(Vec<Step>, u8) -> Result<(), String>);
 }
+
+/// A trip that was taken back never went: after a restart it counts neither as a trip nor as one that may have run.
+#[test]
+fn a_trip_taken_back_leaves_no_trace() {
+    let dir = TempDir::new().expect("a folder");
+    let (mut journal, _) = open(&dir);
+    let serial = journal.accept(packet(1, 40)).expect("room");
+    journal.trip_started(serial, 0, 500, 1).expect("room");
+    journal.trip_ended(serial, 0, false).expect("room");
+    journal.trip_started(serial, 1, 900, 1).expect("room");
+    journal.trip_taken_back(serial, 1).expect("room");
+    drop(journal);
+    let (_, kept) = open(&dir);
+    assert_eq!((kept[0].trips, kept[0].exposed), (1, None));
+}
--- a/crates/forwarder/src/module.rs
+++ b/crates/forwarder/src/module.rs
@@ -234,6 +234,10 @@
                 self.journal.ended(serial)
             }
             false if open.ended => Ok(()),
+            false if outcome == Outcome::TakenBack => {
+                open.trips = u32::from(trip);
+                self.journal.trip_taken_back(serial, trip)
+            }
             false => self.journal.trip_ended(serial, trip, outcome.may_have_run()),
         };
         self.written(written);
@@ -444,11 +448,8 @@
                     self.post(target, TargetNote::CallOff { id, trip });
                 }
             }
-            Action::CloseIdle { target } => {
-                if self.peers.get(&target).is_some_and(|p| p.mailbox.is_some()) {
-                    self.post(target, TargetNote::CloseIdle);
-                }
-            }
+            Action::TakeBack { target } => self.post_to_known(target, TargetNote::TakeBack),
+            Action::CloseIdle { target } => self.post_to_known(target, TargetNote::CloseIdle),
             Action::Watch { on } => self.ask_list(ListNote::Watch(on)),
             Action::FetchList => self.ask_list(ListNote::Fetch),
             Action::Tell { neighbour, note } => {
@@ -467,6 +468,13 @@
         }
     }
 
+    /// Where nothing ever went there is nothing to do.
+    fn post_to_known(&mut self, target: TargetId, note: TargetNote) {
+        if self.peers.get(&target).is_some_and(|p| p.mailbox.is_some()) {
+            self.post(target, note);
+        }
+    }
+
     fn post(&mut self, target: TargetId, note: TargetNote) -> bool {
         let room = self.terms.slots as usize + TARGET_NOTES;
         let Some(peer) = self.peers.get_mut(&target) else { return false };
--- a/crates/forwarder/src/notes.rs
+++ b/crates/forwarder/src/notes.rs
@@ -61,7 +61,12 @@
 pub enum TargetNote {
     Call(Call),
     Probe,
-    CallOff { id: PacketId, trip: u8 },
+    CallOff {
+        id: PacketId,
+        trip: u8,
+    },
+    /// Whatever has not gone whole goes no further.
+    TakeBack,
     CloseIdle,
 }
 
--- a/crates/forwarder/src/stream.rs
+++ b/crates/forwarder/src/stream.rs
@@ -31,6 +31,7 @@
 /// What the stream shows to those who use the connection.
 pub struct Sight {
     written: AtomicU64,
+    before: AtomicU64, // written before the call that is out
     answer: watch::Sender<Answer>,
 }
 
@@ -39,6 +40,11 @@
         self.written.load(Ordering::Relaxed)
     }
 
+    /// Bytes written of the call that is out.
+    pub fn sent(&self) -> u64 {
+        self.written() - self.before.load(Ordering::Relaxed)
+    }
+
     pub fn answer(&self) -> Answer {
         *self.answer.borrow()
     }
@@ -56,6 +62,7 @@
 
     /// The answer is in to its last byte.
     pub fn rest(&self) {
+        self.before.store(self.written(), Ordering::Relaxed);
         self.answer.send_replace(Answer::Unasked);
     }
 }
@@ -78,8 +85,8 @@
 
 impl Stream {
     pub fn new(stream: TcpStream) -> (Stream, Arc<Sight>) {
-        let sight =
-            Arc::new(Sight { written: AtomicU64::new(0), answer: watch::Sender::new(Answer::Unasked) });
+        let [written, before] = [0, 0].map(AtomicU64::new);
+        let sight = Arc::new(Sight { written, before, answer: watch::Sender::new(Answer::Unasked) });
         (Stream { stream, sight: sight.clone(), reading: Reading::Through, dropped: 0 }, sight)
     }
 
--- a/crates/forwarder/src/targets.rs
+++ b/crates/forwarder/src/targets.rs
@@ -15,12 +15,13 @@
 use slog::{debug, error, Logger};
 use std::collections::BTreeMap;
 use std::fmt;
-use std::pin::Pin;
-use std::sync::{Arc, Mutex};
+use std::future::pending;
+use std::pin::{pin, Pin};
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, oneshot, Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{mpsc, watch, OwnedSemaphorePermit, Semaphore};
 use tokio::task::{Id, JoinSet};
 use tokio::time::Instant;
 use tower::{Service, ServiceExt};
@@ -49,6 +50,8 @@
     CalledOff,
     /// The last moment at which it might begin is over, and none of its bytes has gone.
     TooLate,
+    /// It is to go no further, and has not gone whole.
+    TakenBack,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -70,6 +73,7 @@
         match (fault.why, fault.stage) {
             (Why::CalledOff, _) => Outcome::CalledOff,
             (Why::TooLate, _) => Outcome::Moot { no_slot: false },
+            (Why::TakenBack, _) => Outcome::TakenBack,
             (_, Stage::Connecting) => Outcome::NoConnection,
             (Why::Broken, Stage::Writing) => Outcome::NoConnection,
             (Why::Broken, Stage::Written) => Outcome::Reset,
@@ -110,14 +114,6 @@
         }
     }
 
-    /// Shows its stream to whoever watches over the call, which goes on it now.
-    fn show(&self, seen: &Mutex<Option<Arc<Sight>>>, now_seen: &Notify) {
-        if let Ok(mut seen) = seen.lock() {
-            *seen = Some(self.sight.clone());
-        }
-        now_seen.notify_one();
-    }
-
     async fn send(&mut self, call: Outgoing) -> Result<Response<Incoming>, CallFault> {
         self.ready().await?.call(call).await
     }
@@ -140,11 +136,10 @@
 
     fn call(&mut self, call: Outgoing) -> Self::Future {
         let sight = self.sight.clone();
-        let begin = sight.written();
         let answer = self.link.sender.send_request(call.request);
         Box::pin(async move {
             answer.await.map_err(|_| CallFault {
-                stage: match sight.written() - begin {
+                stage: match sight.sent() {
                     0 => Stage::Connecting,
                     some if some < call.length => Stage::Writing,
                     _ => Stage::Written,
@@ -168,10 +163,18 @@
     Probe,
 }
 
+/// What a call or probe under way is told.
+#[derive(Clone, Copy)]
+enum Order {
+    GoOn,
+    TakeBack,
+    CallOff,
+}
+
 struct Underway {
     errand: Errand,
     began: Instant,
-    quit: Option<oneshot::Sender<()>>,
+    orders: watch::Sender<Order>,
 }
 
 pub struct Target {
@@ -232,10 +235,17 @@
             }
             TargetNote::CallOff { id, trip } => {
                 let named = |u: &&mut Underway| matches!(u.errand, Errand::Trip { id: i, trip: t } if (i, t) == (id, trip));
-                if let Some(quit) = self.underway.values_mut().find(named).and_then(|u| u.quit.take()) {
-                    // Nobody listens where the answer is in already.
-                    let _ = quit.send(());
-                }
+                self.underway
+                    .values_mut()
+                    .filter(named)
+                    .for_each(|u| _ = u.orders.send_replace(Order::CallOff));
+            }
+            TargetNote::TakeBack => {
+                let goes_on = |u: &&Underway| !matches!(*u.orders.borrow(), Order::CallOff);
+                self.underway
+                    .values()
+                    .filter(goes_on)
+                    .for_each(|u| _ = u.orders.send_replace(Order::TakeBack));
             }
             TargetNote::CloseIdle => self.idle.clear(),
         }
@@ -254,7 +264,7 @@
         limit: Duration,
         begin_within: Duration,
     ) {
-        let (quit, quitting) = oneshot::channel();
+        let (orders, heard) = watch::channel(Order::GoOn);
         let began = Instant::now();
         let idle = self.take_idle();
         let (links, target) = (self.links.clone(), self.id);
@@ -262,7 +272,7 @@
             let ended = match request {
                 Ok(call) => {
                     let bounds = Bounds { begin: began + begin_within, end: began + limit };
-                    carry(target, idle, call, &links, bounds, quitting).await
+                    carry(target, idle, call, &links, bounds, heard).await
                 }
                 Err(problem) => {
                     error!(links.log, "a call could not be written"; "problem" => %problem);
@@ -295,7 +305,7 @@
             links.tell(target, errand, outcome, over, report, began).await;
             line.served(whole).await
         });
-        self.underway.insert(task.id(), Underway { errand, began, quit: Some(quit) });
+        self.underway.insert(task.id(), Underway { errand, began, orders });
     }
 
     /// The connection used last that has settled; where none has, the one used last.
@@ -343,6 +353,10 @@
             }
             Errand::Probe => Event::ProbeAnswered { target, outcome, took, report },
         };
+        self.say(event).await;
+    }
+
+    async fn say(&self, event: Event) {
         if self.module.send(Note::Event(event)).await.is_err() {
             debug!(self.log, "an outcome came after the end");
         }
@@ -369,10 +383,12 @@
     call: Outgoing,
     links: &Links,
     bounds: Bounds,
-    quitting: oneshot::Receiver<()>,
+    mut orders: watch::Receiver<Order>,
 ) -> Result<Came, CallFault> {
-    let seen: Mutex<Option<Arc<Sight>>> = Mutex::new(None);
-    let (seen, now_seen) = (&seen, &Notify::new());
+    // The stream on which the call goes now.
+    let (show, shown) = watch::channel::<Option<Arc<Sight>>>(None);
+    let show = |line: &Line| _ = show.send_replace(Some(line.sight.clone()));
+    let length = call.length;
     let too_late = CallFault { stage: Stage::Connecting, why: Why::TooLate };
     let in_time = || if Instant::now() < bounds.begin { Ok(()) } else { Err(too_late) };
     let work = async {
@@ -381,7 +397,7 @@
             tokio::time::sleep_until(since + SETTLE).await;
             if line.link.usable().await {
                 in_time()?;
-                line.show(seen, now_seen);
+                show(&line);
                 match line.send(call.clone()).await {
                     Ok(answer) => return Ok(Came::Head(answer, line)),
                     Err(CallFault { stage: Stage::Connecting, .. }) => {}
@@ -393,35 +409,54 @@
         let open = Line::open(target, Duration::from_micros(links.terms.connect_within));
         let mut line = tokio::time::timeout_at(bounds.begin, open).await.map_err(|_| too_late)??;
         in_time()?;
-        line.show(seen, now_seen);
+        show(&line);
         let answer = line.send(call).await?;
         Ok(Came::Head(answer, line))
     };
-    let sight = || seen.lock().ok().and_then(|s| s.clone());
+    let sight = || shown.borrow().clone();
     let spoilt = async {
+        let mut shown = shown.clone();
         loop {
-            now_seen.notified().await;
-            if let Some(sight) = sight() {
-                tokio::select! {
-                    () = sight.stuck(HEAD_TIME) => return,
-                    () = now_seen.notified() => now_seen.notify_one(), // a new connection carries it
+            let now = shown.borrow_and_update().clone();
+            let stuck = async {
+                match &now {
+                    Some(sight) => sight.stuck(HEAD_TIME).await,
+                    None => pending().await,
                 }
+            };
+            tokio::select! {
+                () = stuck => return,
+                Ok(()) = shown.changed() => {} // another connection carries it
             }
         }
     };
+    // Looked at in the same turn in which the work goes on: a call handed to a connection has no byte there before that.
+    let ordered = async {
+        while orders.changed().await.is_ok() {
+            let whole = sight().is_some_and(|s| s.sent() >= length);
+            match *orders.borrow_and_update() {
+                Order::CallOff => return Why::CalledOff,
+                Order::TakeBack if !whole => return Why::TakenBack,
+                Order::TakeBack | Order::GoOn => {}
+            }
+        }
+        pending().await
+    };
+    let mut work = pin!(work);
+    let ended = tokio::select! {
+        biased;
+        ended = &mut work => Ok(ended),
+        () = tokio::time::sleep_until(bounds.end) => Err(Why::OutOfTime),
+        why = ordered => Err(why),
+        () = spoilt => Err(Why::Broken),
+    };
     // Dropping the work closes its connection: that is how a call is given up.
     let gone = |why| {
         let begun = sight().is_some_and(|s| s.answer() != Answer::Unasked);
         let stage = if begun { Stage::Written } else { Stage::Connecting };
         Err(CallFault { stage, why })
     };
-    let ended = tokio::select! {
-        biased;
-        ended = work => ended,
-        () = tokio::time::sleep_until(bounds.end) => gone(Why::OutOfTime),
-        Ok(()) = quitting => gone(Why::CalledOff),
-        () = spoilt => gone(Why::Broken),
-    };
+    let ended = ended.unwrap_or_else(gone);
     // A first line that says 200 is true, whatever came of the rest.
     match ended {
         Err(_) if sight().is_some_and(|s| s.answer() == Answer::Says(200)) => Ok(Came::Yes),
--- a/crates/forwarder/src/targets/tests.rs
+++ b/crates/forwarder/src/targets/tests.rs
@@ -71,6 +71,23 @@
         }
     }
 
+    async fn order(&self, note: TargetNote) {
+        self.mailbox.send(note).await.expect("the actor runs");
+    }
+
+    /// Connections beyond the backlog stay unanswered, as those to a machine that is cut off, until these are accepted.
+    async fn fill_the_backlog(&self) -> Vec<TcpStream> {
+        SockRef::from(&self.listener).listen(0).expect("a short line");
+        let address = self.listener.local_addr().expect("its address");
+        let mut before = Vec::new();
+        while let Ok(stream) =
+            tokio::time::timeout(Duration::from_millis(50), TcpStream::connect(address)).await
+        {
+            before.push(stream.expect("a connection"));
+        }
+        before
+    }
+
     async fn accept(&self) -> TcpStream {
         self.listener.accept().await.expect("a connection").0
     }
@@ -351,15 +368,7 @@
 #[tokio::test]
 async fn a_call_that_can_not_begin_in_time_is_not_sent() {
     let mut rig = Rig::new().await;
-    // Connections beyond the backlog stay unanswered, as those to a machine that is cut off.
-    SockRef::from(&rig.listener).listen(0).expect("a short line");
-    let port = rig.listener.local_addr().expect("its address").port();
-    let mut before = Vec::new();
-    while let Ok(stream) =
-        tokio::time::timeout(Duration::from_millis(50), TcpStream::connect(("127.0.0.1", port))).await
-    {
-        before.push(stream.expect("a connection"));
-    }
+    let before = rig.fill_the_backlog().await;
     rig.call_begun(&Bytes::from_static(b"late"), 1500, 100).await;
     assert_eq!(rig.outcome().await, (Outcome::Moot { no_slot: false }, false));
     for _ in 0..before.len() {
@@ -377,3 +386,59 @@
     let none = tokio::time::timeout(Duration::from_millis(100), stream.read(&mut byte)).await;
     assert!(!matches!(none, Ok(Ok(1))), "a byte of a call that was too late");
 }
+
+/// On a day with lowered limits a wait was told while a connection came up, and the call went out on it all the same.
+#[tokio::test]
+async fn a_call_is_taken_back_until_its_last_byte_has_gone() {
+    let mut rig = Rig::new().await;
+    let before = rig.fill_the_backlog().await;
+    rig.call(&Bytes::from_static(b"chosen before"), 1500).await;
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    rig.order(TargetNote::TakeBack).await;
+    assert_eq!(rig.outcome().await, (Outcome::TakenBack, false));
+    for _ in 0..before.len() {
+        rig.accept().await;
+    }
+    SockRef::from(&rig.listener).listen(16).expect("a line");
+    // Half written, to a target that reads nothing.
+    rig.call(&Bytes::from(vec![7; 32 << 20]), 5000).await;
+    let mut half = rig.accept().await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    rig.order(TargetNote::TakeBack).await;
+    assert_eq!(rig.outcome().await, (Outcome::TakenBack, false));
+    let mut came = 0;
+    while let Ok(1..) = half.read(&mut vec![0; 1 << 20]).await.inspect(|n| came += n) {}
+    assert!(came < 32 << 20, "it came whole");
+    // What has gone whole goes on, also on a connection that has carried others, and can be called off still.
+    for _ in 0..2 {
+        rig.call(&Bytes::from_static(b"gone"), 1500).await;
+    }
+    let (mut first, mut second) = (rig.accept().await, rig.accept().await);
+    rig.trips -= 1;
+    for stream in [&mut first, &mut second] {
+        read_call(stream).await;
+        rig.order(TargetNote::TakeBack).await;
+        stream.write_all(OK).await.expect("sent");
+        assert_eq!(rig.outcome().await, (Outcome::Delivered, true));
+        rig.trips += 1;
+    }
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    rig.trips -= 1;
+    rig.call(&Bytes::from_static(b"gone"), 1500).await;
+    read_call(&mut second).await;
+    rig.order(TargetNote::TakeBack).await;
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    rig.order(TargetNote::CallOff { id: PacketId(1), trip: rig.trips - 1 }).await;
+    rig.order(TargetNote::TakeBack).await;
+    assert_eq!(rig.outcome().await, (Outcome::CalledOff, false));
+    assert!(closed(&mut second).await);
+}
+
+#[tokio::test]
+async fn a_probe_is_taken_back_too() {
+    let mut rig = Rig::new().await;
+    let _before = rig.fill_the_backlog().await;
+    rig.order(TargetNote::Probe).await;
+    rig.order(TargetNote::TakeBack).await;
+    assert_eq!(rig.outcome().await.0, Outcome::TakenBack);
+}
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -408,6 +408,7 @@
             O::NoConnection => ("no-connection", Tick::Failed),
             O::Reset => ("reset", Tick::Failed),
             O::CalledOff => ("called-off", Tick::Failed),
+            O::TakenBack => ("taken-back", Tick::Failed),
             O::Moot { .. } => ("moot", Tick::Failed),
         };
         self.tally.outcome(name);
--- a/crates/lab/src/sim/stations.rs
+++ b/crates/lab/src/sim/stations.rs
@@ -202,6 +202,8 @@
                     self.arrange(at, Happening::Note { from: forwarder, to, note });
                 }
             }
+            // A call goes as it is sent: nothing is there to be taken back.
+            Action::TakeBack { .. } => {}
             Action::Watch { .. } | Action::FetchList | Action::Log(_) | Action::Fault(_) => {}
         }
     }
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -283,6 +283,8 @@
                 fields.push(*trip);
                 68
             }
+            // On this wire a call goes as it is sent.
+            Action::TakeBack { .. } => return Ok(()),
             Action::CloseIdle { target } => {
                 put_target(&mut fields, *target);
                 69
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -106,6 +106,8 @@
     /// The connection broke while the trip was out.
     Reset,
     CalledOff,
+    /// Taken back before its last byte went: it has surely not run, and the trip counts for nothing.
+    TakenBack,
     /// Not sent at all.
     Moot {
         no_slot: bool,
@@ -143,6 +145,11 @@
         closed: bool,
         report: Vec<f32>,
     },
+    /// An answer tells a wait, µs. How its trip or probe ended comes later, perhaps as something else.
+    WaitTold {
+        target: TargetId,
+        wait: Micros,
+    },
     /// Nobody wants the packet any more.
     Withdrawn {
         id: PacketId,
@@ -192,6 +199,11 @@
         id: PacketId,
         trip: u8,
     },
+    /// Calls and probes to it whose last byte has not gone go no further: each ends as `Outcome::TakenBack`. Those that
+    /// have gone whole run on.
+    TakeBack {
+        target: TargetId,
+    },
     CloseIdle {
         target: TargetId,
     },
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -97,6 +97,7 @@
     Card { target: TargetId, card: Card },
     Tick { patiences: f64 },
     AtLimit,
+    WaitTold { target: TargetId, wait: Micros },
     Offer,
     Award,
     Shed,
@@ -108,7 +109,7 @@
     Over { sent: Micros, outcome: Outcome, took: Micros },
     Probed { outcome: Outcome },
     Tick { capacity: f64, demand: f64, held: bool },
-    Shut,
+    Held { shut: bool },
 }
 
 #[derive(Clone, Copy)]
@@ -249,7 +250,7 @@
     }
 
     /// Guards against refusals that breed refusals: each lengthens the rest between our calls.
-    fn refused(&mut self, sent: Micros, wait: Option<Micros>, desk: &mut Desk) {
+    fn refused(&mut self, sent: Micros, desk: &mut Desk) {
         if sent >= self.grown {
             let first = (FIRST_REST * SECOND / self.capacity).max(FIRST_SHARE * self.even(desk.terms));
             let most = (MOST_REST * self.even(desk.terms)).min(Gate::longest(desk.terms)).max(first);
@@ -257,8 +258,6 @@
             self.rest = (2.0 * self.rest).min(mild).clamp(first, most);
             self.grown = desk.now;
         }
-        self.held = self.held.max(desk.now + wait.unwrap_or(0));
-        self.next = self.next.max(self.held);
         self.pass(desk);
     }
 }
@@ -318,6 +317,7 @@
             ToDestination::Tick { patiences } => self.tick(0.0, patiences, desk),
             // Not where routes are apart: each is at a limit of its own.
             ToDestination::AtLimit => self.gates.get_mut(&None).into_iter().for_each(|g| g.heard(desk)),
+            ToDestination::WaitTold { target, wait } => self.heed(target, wait, desk),
             ToDestination::Offer => self.bid(desk),
             ToDestination::Award => self.carry(desk),
             ToDestination::Shed => self.shed(desk),
@@ -364,20 +364,20 @@
         if outcome.may_have_run() && packet.exposed.is_none() {
             packet.exposed = Some((sent, zone));
         }
-        if let (Outcome::Full { wait }, Some(gate)) =
-            (outcome, self.gates.get_mut(&self.apart.then_some(target)))
-        {
-            gate.refused(sent, wait, desk);
-            // Guards a destination that is shut, for longer than a limit holds: all behind its gate are cold.
-            if wait.is_some_and(|w| w > desk.terms.rules.overload_for) {
-                for t in self.cards.keys().filter(|t| !self.apart || **t == target) {
-                    desk.post.targets.push_back((*t, ToTarget::Shut));
-                }
-            }
+        let over = packet.over || outcome == Outcome::Delivered;
+        if outcome == Outcome::TakenBack && !over {
+            packet.trips -= 1; // it keeps its place in the line
+            return self.line.join(&packet.entry(desk.terms));
+        }
+        if let Outcome::Full { wait } = outcome {
+            self.heed(target, wait.unwrap_or(0), desk);
+            let gate = self.gates.get_mut(&self.apart.then_some(target));
+            gate.into_iter().for_each(|gate| gate.refused(sent, desk));
         }
-        if packet.over || outcome == Outcome::Delivered {
+        if over {
             return self.end(id, None, desk);
         }
+        let Some(packet) = self.packets.get_mut(&id) else { return };
         let longest = (LONGEST_WAIT * desk.row(packet.profile).expiry as f64) as Micros;
         let wait = (BASE_WAIT << packet.trips.saturating_sub(1).min(20)).min(longest);
         // Guards against clumps that come due together: chance spreads them, and the waits still grow.
@@ -389,6 +389,19 @@
         }
     }
 
+    /// A told wait binds all behind the gate from when it is heard: also calls chosen before that have yet to go.
+    fn heed(&mut self, target: TargetId, wait: Micros, desk: &mut Desk) {
+        let gate = self.gates.get_mut(&self.apart.then_some(target)).filter(|_| wait > 0);
+        let Some(gate) = gate else { return };
+        gate.held = gate.held.max(desk.now.saturating_add(wait));
+        gate.next = gate.next.max(gate.held);
+        // Guards a destination that is shut, for longer than a limit holds: all behind its gate are cold.
+        let shut = wait > desk.terms.rules.overload_for;
+        for t in self.cards.keys().filter(|t| !self.apart || **t == target) {
+            desk.post.targets.push_back((*t, ToTarget::Held { shut }));
+        }
+    }
+
     fn tick(&mut self, demand: f64, patiences: f64, desk: &mut Desk) {
         let listed = |t: Option<TargetId>| t.map_or(!self.cards.is_empty(), |t| self.cards.contains_key(&t));
         self.gates.retain(|t, gate| listed(*t) || gate.held > desk.now);
@@ -577,6 +590,7 @@
         let before = self.card;
         match note {
             ToTarget::Listed { zone, standing, fee } => {
+                self.take_back(standing != Standing::Ready, desk);
                 // Guards a target that goes and comes back while it may be cold: it is not forgotten so soon.
                 let rest = if standing == Standing::Gone { desk.terms.rules.warm_after } else { 0 };
                 self.next_probe = desk.now.saturating_add(rest);
@@ -618,7 +632,12 @@
                     self.health = Health::Probed;
                 }
             }
-            ToTarget::Shut => self.set_aside("it is shut", desk),
+            ToTarget::Held { shut } => {
+                self.take_back(true, desk);
+                if shut {
+                    self.set_aside("it is shut", desk);
+                }
+            }
             ToTarget::Tick { capacity, demand, held } => {
                 self.capacity = capacity;
                 self.tick(demand, held, desk);
@@ -631,6 +650,13 @@
         }
     }
 
+    /// Guards what binds from now on against calls and probes chosen before: those that have yet to go come back.
+    fn take_back(&self, bound: bool, desk: &mut Desk) {
+        if bound && (!self.calls.is_empty() || self.next_probe == Micros::MAX) {
+            desk.tell(ToForwarder::Do(Action::TakeBack { target: self.id }));
+        }
+    }
+
     fn judge(&mut self, outcome: Outcome, took: Micros, desk: &mut Desk) {
         self.row_since = if self.failures == 0 { desk.now } else { self.row_since };
         self.refusals *= u32::from(!matches!(outcome, Outcome::Delivered | Outcome::Full { .. }));
@@ -638,6 +664,7 @@
         match outcome {
             // Guards against taking a full connection table for an outage: others of our calls got through.
             Outcome::NoConnection if passing => return self.refusals += 1,
+            Outcome::TakenBack => return self.budget.left += 1.0,
             Outcome::CalledOff | Outcome::Moot { .. } => return,
             Outcome::Delivered => {
                 (self.answered, self.failures) = (desk.now, 0);
@@ -839,6 +866,11 @@
                 actions.extend(full.and_then(|t| self.hearsay.refused(now, t.destination, &self.terms)));
                 self.pass_on(id, ToDestination::Over { id, target, outcome, took, closed });
             }
+            Event::WaitTold { target, wait } => {
+                let at = self.targets.get(&target).map(|t| t.destination);
+                let note = ToDestination::WaitTold { target, wait };
+                self.post.destinations.extend(at.map(|at| (at, note)));
+            }
             Event::Withdrawn { id } => self.pass_on(id, ToDestination::Withdrawn(id)),
             Event::ProbeAnswered { target, outcome, .. } => {
                 self.post.targets.push_back((target, ToTarget::Probed { outcome }));
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -64,6 +64,10 @@
     pub due: Micros,
     pub called_off: bool,
     pub outcome: Option<Outcome>,
+    /// When its bytes go, where its connection comes up late; none once they have gone.
+    pub goes: Option<Micros>,
+    /// Told to go no further before they went: it ends so at the next step.
+    pub taken_back: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -95,6 +99,8 @@
     pub order: Vec<PacketId>,
     pub actions: Vec<Action>,
     pub probes: Vec<TargetId>,
+    /// How late the connections of the next calls come up.
+    pub late: Micros,
     alarms: BTreeSet<(Micros, u32)>,
     listed: BTreeMap<TargetId, Listing>,
     told_off: BTreeMap<TargetId, Micros>,
@@ -115,6 +121,7 @@
             order: Vec::new(),
             actions: Vec::new(),
             probes: Vec::new(),
+            late: 0,
             alarms: BTreeSet::new(),
             listed: BTreeMap::new(),
             told_off: BTreeMap::new(),
@@ -191,7 +198,7 @@
         self.die()?;
         for (id, mut held) in packets.into_iter().filter(|(_, held)| !held.over) {
             let open = held.trips.iter_mut().filter(|t| t.outcome.is_none());
-            open.for_each(|t| t.outcome = Some(Outcome::Reset));
+            open.for_each(|t| (t.outcome, t.goes) = (Some(Outcome::Reset), None));
             let ran = held.trips.iter().find(|t| t.outcome.is_some_and(Outcome::may_have_run));
             let exposed = ran.map(|t| (t.sent, self.listed.get(&t.target).map_or(ZoneId(0), |l| l.zone)));
             let past = Past { trips: held.trips.len() as u32, exposed };
@@ -219,11 +226,14 @@
     /// Ends the packet's trip.
     pub fn end(&mut self, id: PacketId, outcome: Outcome) -> Result<(), String> {
         let trip = self.packets[&id].trips.last().cloned().ok_or("no trip to end")?;
-        let apart = self.terms.kinds[0].routes_apart;
-        let destination = self.packets[&id].arrival.destination;
+        if trip.taken_back {
+            return self.take_back(id);
+        }
+        // A target answers only what has come.
+        let given_up = matches!(outcome, Outcome::Timeout | Outcome::CalledOff);
+        let outcome = if trip.goes.is_some() && !given_up { Outcome::NoConnection } else { outcome };
         if let Outcome::Full { wait: Some(wait) } = outcome {
-            let until = self.waits.entry((destination, apart.then_some(trip.target))).or_default();
-            *until = (*until).max(self.now + wait);
+            self.wait_binds(id, wait);
         }
         let cold = self.cold.entry(trip.target).or_default();
         // Packets of one call are judged as one.
@@ -254,6 +264,30 @@
         self.give(Event::TripEnded { id, trip: n as u8, target: trip.target, outcome, took, closed, report })
     }
 
+    fn wait_binds(&mut self, id: PacketId, wait: Micros) {
+        let held = &self.packets[&id];
+        let route = held.trips.last().map(|t| t.target).filter(|_| self.terms.kinds[0].routes_apart);
+        let until = self.waits.entry((held.arrival.destination, route)).or_default();
+        *until = (*until).max(self.now + wait);
+    }
+
+    /// The head of its answer tells a wait; how it ends comes later.
+    pub fn told_to_wait(&mut self, id: PacketId, wait: Micros) -> Result<(), String> {
+        let trip = self.packets[&id].trips.last().filter(|t| t.goes.is_none() && t.outcome.is_none());
+        let Some(target) = trip.map(|t| t.target) else { return Ok(()) };
+        self.wait_binds(id, wait);
+        self.give(Event::WaitTold { target, wait })
+    }
+
+    /// Its trip never went: nothing of it counts.
+    pub fn take_back(&mut self, id: PacketId) -> Result<(), String> {
+        let held = self.packets.get_mut(&id).ok_or("no such packet")?;
+        let trip = held.trips.pop().ok_or("no trip to take back")?;
+        let (n, closed, outcome) = (held.trips.len() as u8, held.over, Outcome::TakenBack);
+        let (took, report) = (self.now - trip.sent, Vec::new());
+        self.give(Event::TripEnded { id, trip: n, target: trip.target, outcome, took, closed, report })
+    }
+
     pub fn answer_probe(&mut self, outcome: Outcome) -> Result<(), String> {
         match self.probes.pop() {
             Some(target) => self.give(Event::ProbeAnswered { target, outcome, took: MS, report: Vec::new() }),
@@ -267,13 +301,17 @@
         loop {
             let due = |h: &Held| {
                 let t = h.trips.last()?;
-                t.outcome.is_none().then_some(if t.called_off { self.now } else { t.due.min(h.expires) })
+                let end = if t.called_off || t.taken_back { self.now } else { t.due.min(h.expires) };
+                t.outcome.is_none().then_some(t.goes.unwrap_or(end).min(end))
             };
             let trip = self.packets.iter().filter_map(|(id, h)| Some((due(h)?, *id))).min();
             let alarm = self.alarms.first().copied();
             match (trip, alarm) {
                 (Some((at, id)), _) if at <= until && alarm.is_none_or(|a| at <= a.0) => {
                     self.now = self.now.max(at);
+                    if self.goes_now(id)? {
+                        continue;
+                    }
                     let called_off = self.packets[&id].trips.last().is_some_and(|t| t.called_off);
                     self.end(id, if called_off { Outcome::CalledOff } else { Outcome::Timeout })?;
                 }
@@ -293,6 +331,17 @@
         }
     }
 
+    /// Whether the bytes of its trip go at this moment; what binds now binds them.
+    fn goes_now(&mut self, id: PacketId) -> Result<bool, String> {
+        let Some(trip) = self.packets.get_mut(&id).and_then(|h| h.trips.last_mut()) else { return Ok(false) };
+        if trip.called_off || trip.taken_back || trip.goes.is_none_or(|at| at > self.now) {
+            return Ok(false);
+        }
+        trip.goes = None;
+        let target = trip.target;
+        self.check_bound(target).map_err(|e| format!("{id:?} goes late at {}: {e}", self.now)).map(|()| true)
+    }
+
     pub fn give(&mut self, event: Event) -> Result<(), String> {
         let mut actions = Vec::new();
         self.forwarder.handle(self.now, event, &mut actions);
@@ -309,7 +358,10 @@
                 self.check_send(*id, *target)?;
                 let held = self.packets.get_mut(id).ok_or("unknown packet")?;
                 let due = limit.map_or(held.expires, |l| self.now + l);
-                let trip = Trip { sent: self.now, target: *target, due, called_off: false, outcome: None };
+                let goes = (self.late > 0).then_some(self.now + self.late);
+                let (called_off, taken_back, outcome) = (false, false, None);
+                let trip =
+                    Trip { sent: self.now, target: *target, due, called_off, outcome, goes, taken_back };
                 held.trips.push(trip);
                 self.check_slots()
             }
@@ -342,6 +394,12 @@
                 trip.called_off = true;
                 Ok(())
             }
+            Action::TakeBack { target } => {
+                let trips = self.packets.values_mut().filter_map(|h| h.trips.last_mut());
+                let waits = |t: &&mut Trip| t.target == *target && t.outcome.is_none() && t.goes.is_some();
+                trips.filter(waits).filter(|t| !t.called_off).for_each(|t| t.taken_back = true);
+                Ok(())
+            }
             Action::Wake { after, token } => {
                 self.alarms.insert((self.now + after.max(&1), token.0));
                 Ok(())
@@ -388,10 +446,9 @@
         self.check_target(target)
     }
 
-    /// Drains, waits and the cold budget: they hold for calls and probes alike.
-    fn check_target(&mut self, target: TargetId) -> Result<(), String> {
-        let listing = &self.listed[&target];
-        let rules = &self.terms.rules;
+    /// Drains and waits: they hold for calls and probes alike, when they are decided and when they go.
+    fn check_bound(&self, target: TargetId) -> Result<(), String> {
+        let (listing, rules) = (&self.listed[&target], &self.terms.rules);
         if self.told_off.get(&target).is_some_and(|t| self.now > t + rules.drain_grace) {
             return Err("the target drains or is gone".into());
         }
@@ -399,6 +456,13 @@
         if self.waits.get(&(listing.destination, route)).is_some_and(|w| self.now < *w) {
             return Err("told to wait".into());
         }
+        Ok(())
+    }
+
+    /// What binds, and the cold budget.
+    fn check_target(&mut self, target: TargetId) -> Result<(), String> {
+        self.check_bound(target)?;
+        let (listing, rules) = (&self.listed[&target], &self.terms.rules);
         let cold = self.cold.entry(target).or_default();
         cold.sends.retain(|s| s + rules.overload_for > self.now);
         if self.terms.kinds[0].per_call == 1 || cold.sends.last() != Some(&self.now) {
@@ -450,6 +514,7 @@
     let mut world = World::new(terms, list.clone());
     let mut mood = [0.1; 6];
     for _ in 0..steps {
+        world.late = if chance.random_bool(0.3) { chance.random_range(0..1_000) * MS } else { 0 };
         match chance.random_range(0..100) {
             0..30 => {
                 let left = if chance.random_bool(0.1) { chance.random_range(0..50) } else { 8_000 } * MS;
@@ -459,6 +524,9 @@
             30..60 => {
                 let out = world.out();
                 if let Some(id) = out.get(chance.random_range(0..out.len().max(1))) {
+                    if chance.random_bool(0.05) {
+                        world.told_to_wait(*id, chance.random_range(1..3_000) * MS)?;
+                    }
                     let at = world.packets[id].trips.last().map_or(0, |t| t.target.address[3]);
                     let outcome = match chance.random_bool(mood[usize::from(at)]) {
                         false => Outcome::Delivered,
