A wait binds from the head of its answer, whatever its status, size or body

Found by reading, beside the operators' case: a 429 was told to the module only once its body was whole, up to 500 ms later (the protocol lets 100 ms through), and one whose body was late, cut off or of a wrong length became a reset without a wait (start() in targets.rs: 'believed of a whole answer only'). That is right for 'has not run' and wrong for the wait.

Change: where the end of an answer does not come with its head, or is no refusal, the wait goes ahead of it (Event::WaitTold). The new test's five answers tell no wait without it.

--- a/crates/forwarder/src/protocol.rs
+++ b/crates/forwarder/src/protocol.rs
@@ -16,7 +16,7 @@
 
 pub const MOST_BODY: usize = 64 * 1024; // bytes, the protocol's limit
 pub const MOST_AHEAD: usize = 32 * 1024; // bytes read ahead on a connection, the longest head: hundreds fit the memory
-const LONGEST_WAIT_MS: f64 = 86_400_000.0; // a day: a target that tells a longer wait tells none
+const LONGEST_WAIT_MS: f64 = 86_400_000.0; // a day, over any expiry: more than that is not told apart
 const LONGEST_NAME: usize = 256; // bytes of a request id or idempotency key: far over any in use
 
 pub const UP: &str = "/up";
@@ -186,16 +186,22 @@
     (first + lines.sum::<usize>() + "\r\n".len()) as u64
 }
 
+/// The wait that an answer asks for, whatever its status: the longest of those that can be read, a day at most. One
+/// that is no number of milliseconds above nought is none.
+pub fn decode_wait(headers: &HeaderMap) -> Option<Micros> {
+    let told = headers.get_all("wait-ms").iter().filter_map(|v| v.to_str().ok()?.trim().parse::<f64>().ok());
+    let longest = told.filter(|ms| *ms > 0.0).max_by(f64::total_cmp)?;
+    Some((longest.min(LONGEST_WAIT_MS) * 1000.0).ceil() as Micros)
+}
+
 /// How a call or probe went, by the answer's head: its outcome, and whether the packet is over.
 pub fn decode_answer(status: StatusCode, headers: &HeaderMap) -> (Outcome, bool) {
-    let number =
-        |name: &str| headers.get(name).and_then(|v| v.to_str().ok()).and_then(|v| v.trim().parse().ok());
+    let number = |name: &str| {
+        headers.get(name).and_then(|v| v.to_str().ok()).and_then(|v| v.trim().parse::<f64>().ok())
+    };
     match status.as_u16() {
         200 => (Outcome::Delivered, true),
-        429 => {
-            let wait = number("wait-ms").filter(|ms: &f64| *ms > 0.0 && *ms <= LONGEST_WAIT_MS);
-            (Outcome::Full { wait: wait.map(|ms| (ms * 1000.0).ceil() as Micros) }, false)
-        }
+        429 => (Outcome::Full { wait: decode_wait(headers) }, false),
         503 if number("slots-taken") == Some(1.0) => (Outcome::Moot { no_slot: true }, false),
         503 => (Outcome::Full { wait: None }, false),
         504 => (Outcome::Moot { no_slot: false }, false),
--- a/crates/forwarder/src/targets.rs
+++ b/crates/forwarder/src/targets.rs
@@ -293,14 +293,29 @@
             };
             let (outcome, over) = protocol::decode_answer(answer.status(), answer.headers());
             let report = protocol::decode_report(answer.headers(), &links.names);
+            let wait = protocol::decode_wait(answer.headers());
             let rest = Limited::new(answer.into_body(), protocol::MOST_BODY).collect();
-            let rest = async { matches!(tokio::time::timeout(DRAIN, rest).await, Ok(Ok(_))) };
+            let mut rest =
+                pin!(async { matches!(tokio::time::timeout(DRAIN, rest).await, Ok(Ok(_))) });
+            let at_once = tokio::time::timeout(Duration::ZERO, &mut rest).await.ok();
+            // A wait binds from its head on, whatever comes of the rest.
+            let told_with_the_end = matches!(outcome, Outcome::Full { .. }) && at_once == Some(true);
+            if let Some(wait) = wait.filter(|_| !told_with_the_end) {
+                links.say(Event::WaitTold { target, wait }).await;
+            }
             // What ran, or may have, is told by the head. That it did not run is believed of a whole answer only.
             if outcome.may_have_run() {
                 links.tell(target, errand, outcome, over, report, began).await;
-                return line.served(rest.await).await;
+                let whole = match at_once {
+                    Some(whole) => whole,
+                    None => rest.await,
+                };
+                return line.served(whole).await;
             }
-            let whole = rest.await;
+            let whole = match at_once {
+                Some(whole) => whole,
+                None => rest.await,
+            };
             let (outcome, over) = if whole { (outcome, over) } else { (Outcome::Reset, false) };
             links.tell(target, errand, outcome, over, report, began).await;
             line.served(whole).await
--- a/crates/forwarder/src/targets/tests.rs
+++ b/crates/forwarder/src/targets/tests.rs
@@ -71,6 +71,15 @@
         }
     }
 
+    /// The wait that an answer told, ahead of its end.
+    async fn wait_told(&mut self) -> Micros {
+        let note = tokio::time::timeout(Duration::from_secs(5), self.notes.recv());
+        match note.await.expect("in time").expect("a note") {
+            Note::Event(Event::WaitTold { wait, .. }) => wait,
+            _ => panic!("another note"),
+        }
+    }
+
     async fn order(&self, note: TargetNote) {
         self.mailbox.send(note).await.expect("the actor runs");
     }
@@ -442,3 +451,33 @@
     rig.order(TargetNote::TakeBack).await;
     assert_eq!(rig.outcome().await.0, Outcome::TakenBack);
 }
+
+/// A wait binds from when the head of its answer is in: the body may be late, spoilt or cut off, the status another.
+#[tokio::test]
+async fn a_wait_counts_from_its_head_whatever_comes_of_the_rest() {
+    let cases = [
+        ("429 W", "Content-Length: 4\r\n\r\n", Some("late"), Outcome::Full { wait: Some(700_000) }),
+        ("429 W", "Content-Length: 4\r\n\r\n", None, Outcome::Reset),
+        ("429 W", "Content-Length: 3000000000\r\n\r\nxx", None, Outcome::Reset),
+        ("503 F", "Content-Length: 4\r\n\r\n", Some("late"), Outcome::Full { wait: None }),
+        ("500 E", "Content-Length: 0\r\n\r\n", None, Outcome::Error),
+    ];
+    for (status, rest, late, outcome) in cases {
+        let mut rig = Rig::new().await;
+        rig.call(&Bytes::new(), 20_000).await;
+        let mut stream = rig.accept().await;
+        read_call(&mut stream).await;
+        let head = format!("HTTP/1.1 {status}\r\nWait-Ms: 700\r\n{rest}");
+        stream.write_all(head.as_bytes()).await.expect("sent");
+        let begun = Instant::now();
+        assert_eq!(rig.wait_told().await, 700_000, "{status} {rest}");
+        assert!(begun.elapsed() < Duration::from_millis(100), "{status} {rest}");
+        if let Some(late) = late {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            stream.write_all(late.as_bytes()).await.expect("sent");
+        } else {
+            stream.shutdown().await.expect("cut off");
+        }
+        assert_eq!(rig.outcome().await, (outcome, false), "{status} {rest}");
+    }
+}
