A call given up in the moment its answer comes hears that answer, its wait too

Found by reading: a time-out or a call-off dropped the connection although an answer stood in its socket, for the call's timer and the socket's reader wake in the same turn and the call was looked at first (carry() in targets.rs). A wait in it was written, and so told, and never heard. Change: before such a call is given up the runtime reads its sockets once more. Test: an answer and a call-off in one turn; without the change the outcome is CalledOff.

--- a/crates/forwarder/src/targets.rs
+++ b/crates/forwarder/src/targets.rs
@@ -471,7 +471,16 @@
         let stage = if begun { Stage::Written } else { Stage::Connecting };
         Err(CallFault { stage, why })
     };
-    let ended = ended.unwrap_or_else(gone);
+    let ended = match ended {
+        Ok(ended) => ended,
+        // Guards a wait against a call given up as its answer comes: what is in the socket by now counts.
+        Err(why @ (Why::OutOfTime | Why::CalledOff)) => tokio::select! {
+            biased;
+            ended = &mut work => ended,
+            () = last_look() => gone(why),
+        },
+        Err(why) => gone(why),
+    };
     // A first line that says 200 is true, whatever came of the rest.
     match ended {
         Err(_) if sight().is_some_and(|s| s.answer() == Answer::Says(200)) => Ok(Came::Yes),
@@ -479,5 +488,12 @@
     }
 }
 
+/// Lets the runtime read its sockets once more, and those run whom that concerns.
+async fn last_look() {
+    for _ in 0..2 {
+        tokio::task::yield_now().await;
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/forwarder/src/targets/tests.rs
+++ b/crates/forwarder/src/targets/tests.rs
@@ -481,3 +481,15 @@
         assert_eq!(rig.outcome().await, (outcome, false), "{status} {rest}");
     }
 }
+
+/// A call given up in the moment in which its answer comes once closed its connection on a wait unread.
+#[tokio::test]
+async fn an_answer_in_the_socket_counts_before_the_call_is_given_up() {
+    let mut rig = Rig::new().await;
+    rig.call(&Bytes::new(), 20_000).await;
+    let mut stream = rig.accept().await;
+    read_call(&mut stream).await;
+    stream.try_write(b"HTTP/1.1 429 W\r\nWait-Ms: 700\r\nContent-Length: 0\r\n\r\n").expect("sent");
+    rig.mailbox.try_send(TargetNote::CallOff { id: PacketId(1), trip: 0 }).expect("room");
+    assert_eq!(rig.outcome().await, (Outcome::Full { wait: Some(700_000) }, false));
+}
