--- a/crates/forwarder/src/list.rs
+++ b/crates/forwarder/src/list.rs
@@ -8,7 +8,7 @@
 use opalpulley_terms::Names;
 use slog::{info, warn, Logger};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 
@@ -16,55 +16,79 @@
 const PATIENCE: Duration = Duration::from_secs(2); // for an answer, beyond what was asked for: the agent is next door
 const AGAIN: Duration = Duration::from_millis(150); // between tries: under the time after which a watch begins anew
 
-/// The list as last held: members by id, each under the number by which the core knows it. Each leaves as it goes.
+/// A member under the number by which the core knows it.
+type Numbered = (u32, Member);
+
+/// The list as last held: members by id. Each leaves as it goes.
 #[derive(Default)]
 pub struct Held {
     revision: Option<u64>,
-    members: BTreeMap<String, (u32, Member)>,
+    members: BTreeMap<String, Numbered>,
+    holders: BTreeMap<SocketAddrV4, String>, // who has an address; each leaves with its member
     /// The number of the next member that is new. It comes round after four thousand million of them.
     next: u32,
 }
 
 impl Held {
-    /// Takes news in and gives them in the core's terms; nothing where they are of before.
+    /// Takes news in and gives them in the core's terms; nothing where they are of before. The work follows what is
+    /// told, not what is held.
     pub fn take(&mut self, text: ListText, names: &Names) -> Option<ListNews> {
         if !text.complete && self.revision.is_some_and(|r| text.revision < r) {
             return None;
         }
         self.revision = Some(text.revision);
-        let before = match text.complete {
-            true => std::mem::take(&mut self.members),
-            false => self.members.clone(),
-        };
+        // Those that are told of, as they stood before.
+        let mut before: BTreeMap<String, Option<Numbered>> = BTreeMap::new();
+        if text.complete {
+            self.holders.clear();
+            before = std::mem::take(&mut self.members).into_iter().map(|(id, old)| (id, Some(old))).collect();
+        }
         for member in text.members {
+            let old =
+                before.entry(member.id.clone()).or_insert_with(|| self.members.get(&member.id).cloned());
             // Guards an address that another holds by now against what is told late of the one before.
-            let takes = member.phase == Phase::Ready || before.contains_key(&member.id);
-            let other = |(id, (_, m)): (&String, &(u32, Member))| {
-                (*id != member.id && m.host_port == member.host_port).then(|| id.clone())
-            };
-            let other = self.members.iter().find_map(other);
+            let takes = member.phase == Phase::Ready || old.is_some();
+            let other = self.holders.get(&member.host_port).filter(|id| **id != member.id).cloned();
             if member.phase == Phase::Gone {
-                self.members.remove(&member.id);
+                self.remove(&member.id);
             } else if other.is_none() || takes && member.phase == Phase::Ready {
-                other.and_then(|id| self.members.remove(&id));
                 // Guards a new member against what was learned of another that had its address, or of itself elsewhere.
                 let place = |m: &Member| (m.host_port, m.cell);
-                let same = before.get(&member.id).filter(|(_, old)| place(old) == place(&member));
-                let number = same.map_or_else(|| self.new_number(), |(number, _)| *number);
+                let same =
+                    old.as_ref().filter(|(_, old)| place(old) == place(&member)).map(|(number, _)| *number);
+                if let Some(other) = other {
+                    let removed = self.remove(&other);
+                    before.entry(other).or_insert(removed);
+                }
+                let number = same.unwrap_or_else(|| self.new_number());
+                self.remove(&member.id);
+                self.holders.insert(member.host_port, member.id.clone());
                 self.members.insert(member.id.clone(), (number, member));
             }
         }
-        let listing = |(number, member): &(u32, Member)| member.listing(*number, names);
+        let listing = |(number, member): &Numbered| member.listing(*number, names);
         if text.complete {
             return Some(ListNews::Whole(self.members.values().map(listing).collect()));
         }
-        let gone = before.iter().filter(|(id, (n, _))| self.members.get(*id).is_none_or(|(m, _)| m != n));
+        let now = |id: &String| self.members.get(id);
+        let was = before.iter().filter_map(|(id, old)| Some((id, old.as_ref()?)));
+        let gone = was.filter(|(id, (number, _))| now(id).is_none_or(|(n, _)| n != number));
         let gone = gone.map(|(_, old)| Listing { standing: Standing::Gone, ..listing(old) });
-        let told = self.members.iter().filter(|(id, now)| before.get(*id) != Some(now));
-        let entries: Vec<Listing> = gone.chain(told.map(|(_, now)| listing(now))).collect();
+        let told = before.iter().filter_map(|(id, old)| now(id).filter(|now| old.as_ref() != Some(now)));
+        let entries: Vec<Listing> = gone.chain(told.map(listing)).collect();
         (!entries.is_empty()).then_some(ListNews::Changes(entries))
     }
 
+    fn remove(&mut self, id: &str) -> Option<Numbered> {
+        let removed = self.members.remove(id);
+        if let Some((_, member)) =
+            removed.as_ref().filter(|(_, m)| self.holders.get(&m.host_port).is_some_and(|h| h == id))
+        {
+            self.holders.remove(&member.host_port);
+        }
+        removed
+    }
+
     fn new_number(&mut self) -> u32 {
         self.next = self.next.wrapping_add(1);
         self.next
