--- a/crates/forwarder/src/module.rs
+++ b/crates/forwarder/src/module.rs
@@ -24,7 +24,10 @@
 /// A tenant that no deployment has: the core finds no share for it.
 const NO_TENANT: TenantId = TenantId(u32::MAX);
 
-/// Notes to a target beyond one for each slot: call-offs, probes, closings.
+/// Notes to a target for each slot: a call, its call-off, and what a wait told by it takes back.
+const SLOT_NOTES: usize = 3;
+
+/// Notes to a target beyond those: probes, closings, what a list takes back.
 const TARGET_NOTES: usize = 64;
 
 /// A packet that is not over.
@@ -476,7 +479,7 @@
     }
 
     fn post(&mut self, target: TargetId, note: TargetNote) -> bool {
-        let room = self.terms.slots as usize + TARGET_NOTES;
+        let room = SLOT_NOTES * self.terms.slots as usize + TARGET_NOTES;
         let Some(peer) = self.peers.get_mut(&target) else { return false };
         let mailbox = peer.mailbox.get_or_insert_with(|| {
             let (mailbox, notes) = mpsc::channel(room);
--- a/crates/lab/src/scripted.rs
+++ b/crates/lab/src/scripted.rs
@@ -85,11 +85,15 @@
     Some(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
 }
 
-/// One member of a list, as discovery writes it.
+/// One member of a list, as discovery writes it; it is named by its port.
 pub fn member(target: SocketAddr, cell: u16, phase: &str) -> String {
+    member_named(&format!("s-{}", target.port()), target, cell, phase)
+}
+
+/// One member under a name of its own.
+pub fn member_named(id: &str, target: SocketAddr, cell: u16, phase: &str) -> String {
     format!(
-        r#"{{"id":"s-{}","host_port":"{target}","locality":"a","flavor":"m","cell":{cell},"phase":"{phase}","size":50.0,"up_since_ms":0}}"#,
-        target.port()
+        r#"{{"id":"{id}","host_port":"{target}","locality":"a","flavor":"m","cell":{cell},"phase":"{phase}","size":50.0,"up_since_ms":0}}"#
     )
 }
 
