Laboratory: connections that come up late, refusals cut off behind their head

The laboratory could not show what the full fleet did: on its simulated clock a call went as it was sent. New: a share of the connections comes up late (network.late), the bytes of such a call are judged against waits and drains as they go, and a trouble breaks refusals off behind their head (both clocks). On sockets connections can't be made late without a kernel's full backlog; there the tests of the target's actor stand for it.

--- a/crates/lab/src/oracle.rs
+++ b/crates/lab/src/oracle.rs
@@ -285,14 +285,7 @@
             }
             _ => {}
         }
-        if self
-            .told_off
-            .get(&(forwarder, target, holder))
-            .is_some_and(|t| now > t + self.drain_grace + self.slack)
-        {
-            self.broken(Rule::DrainNotKept, now, what(": it drains or is gone"));
-        }
-        self.check_wait(forwarder, gate, now, &what(": told to wait"));
+        self.check_bound(forwarder, target, holder, gate, now, &what(""));
         if let (Some(key), true) = (d.taking.key, in_order) {
             let line = self.orders.get(&(forwarder, key)).cloned().unwrap_or_default();
             let earlier = line.iter().take_while(|o| **o != duty);
@@ -313,6 +306,30 @@
         }
     }
 
+    /// What binds a call as its bytes go, whenever it was chosen: drains and waits.
+    pub fn check_bound(
+        &mut self,
+        forwarder: u32,
+        target: usize,
+        holder: u32,
+        gate: usize,
+        now: Micros,
+        what: &str,
+    ) {
+        let off = self.told_off.get(&(forwarder, target, holder));
+        if off.is_some_and(|t| now > t + self.drain_grace + self.slack) {
+            self.broken(Rule::DrainNotKept, now, format!("{what}: it drains or is gone"));
+        }
+        self.check_wait(forwarder, gate, now, &format!("{what}: told to wait"));
+    }
+
+    /// A trip of it was taken back before its bytes went: it counts for nothing.
+    pub fn never_went(&mut self, duty: u64) {
+        if let Some(d) = self.duties.get_mut(&duty) {
+            d.trips = d.trips.saturating_sub(1);
+        }
+    }
+
     pub fn check_wait(&mut self, forwarder: u32, gate: usize, now: Micros, what: &str) {
         match self.waits.get(&(forwarder, gate)) {
             Some((from, until)) if (*from..*until).contains(&now) => {
--- a/crates/lab/src/receivers.rs
+++ b/crates/lab/src/receivers.rs
@@ -41,6 +41,10 @@
     /// The connection breaks off before the call is in.
     Cut,
     Silent,
+    /// The head of a refusal, which may tell a wait; then the connection breaks.
+    FullCut {
+        wait: Option<Micros>,
+    },
     Reset,
     /// 200, then the connection breaks.
     ServedThenReset,
@@ -323,7 +327,10 @@
 
     /// What becomes of a call whose last byte reaches its target now. `mark` is what repeats are known by.
     pub fn call(&mut self, now: Micros, target: usize, forwarder: u32, mark: Option<u64>) -> Fate {
-        let fate = self.judge(now, target, mark);
+        let mut fate = self.judge(now, target, mark);
+        if let (Says::Full { wait }, true) = (fate.says, self.cuts_refusal(target)) {
+            fate.says = Says::FullCut { wait };
+        }
         if fate.says != Says::Refused {
             self.weigh(now, target, forwarder);
         }
@@ -333,6 +340,15 @@
         fate
     }
 
+    fn cuts_refusal(&mut self, target: usize) -> bool {
+        let (t, active) = (&mut self.targets[target], &self.active);
+        let rate = |n: &usize| match active.get(n).map(|a| &a.what) {
+            Some(What::RefusalsCut { rate }) => Some(*rate),
+            _ => None,
+        };
+        t.troubles.iter().find_map(rate).is_some_and(|rate| t.rng.random_bool(rate))
+    }
+
     fn judge(&mut self, now: Micros, target: usize, mark: Option<u64>) -> Fate {
         let not_run = |says, at| Fate { ran: None, at, says };
         if self.refuses(now, target) {
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -138,10 +138,21 @@
     pub list_lag: Span,
     /// A connection that takes longer to come up counts as none.
     pub connect_within: Span,
+    /// Some new connections come up late (simulated clock only).
+    pub late: Option<Late>,
     /// The list is told to those that ask for it; left out, it comes by itself (simulated clock only).
     pub asked: Option<Asked>,
 }
 
+/// Connections that come up late, each by an even chance of up to `most`.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Late {
+    /// The part of the new connections.
+    pub share: f64,
+    pub most: Span,
+}
+
 /// A discovery that is asked: it works off one call after the other.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -158,7 +169,13 @@
 
 impl Default for Network {
     fn default() -> Network {
-        Network { delay: Span(300), list_lag: Span(200_000), connect_within: Span(1_000_000), asked: None }
+        Network {
+            delay: Span(300),
+            list_lag: Span(200_000),
+            connect_within: Span(1_000_000),
+            late: None,
+            asked: None,
+        }
     }
 }
 
@@ -378,6 +395,8 @@
     Reset { rate: f64, when: When },
     /// So many of the calls run, and their answers never come.
     AnswerLost { rate: f64 },
+    /// So many of the refusals come with a good head, which may tell a wait, and break off.
+    RefusalsCut { rate: f64 },
     /// So many of the answers can't be read, though the call ran.
     Garbled { rate: f64 },
     /// So many of the answers begin, and never end.
@@ -542,6 +561,11 @@
             r.fall_multiple.to_string(),
             "must be above 0",
         );
+        if let Some(late) = &self.network.late {
+            let (most, within) = (late.most, self.network.connect_within);
+            say(share(late.share), "network.late".into(), late.share.to_string(), "share is from 0 to 1");
+            say(most.0 > within.0, "network.late".into(), most.to_string(), "is over connect_within");
+        }
         say(self.profiles.is_empty(), "profiles".into(), "none".into(), "name one at least");
         for (n, p) in self.profiles.iter().enumerate() {
             let key = |k: &str| format!("profiles[{n}].{k}");
@@ -614,6 +638,7 @@
                 | What::Reset { rate, .. }
                 | What::AnswerLost { rate }
                 | What::Garbled { rate }
+                | What::RefusalsCut { rate }
                 | What::Endless { rate } => rate,
                 What::Partial { missing } => missing,
                 What::Brownout { left } => left,
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -16,6 +16,7 @@
 use crate::tally::{Clock, Outcome, Tally, Tick};
 use crate::world::Layout;
 use opalpulley::{Event, ListNews, Micros, PacketId, Standing, TargetId, Token};
+use rand::Rng;
 use rand_pcg::Pcg64Mcg;
 use stations::Station;
 use std::cmp::Ordering;
@@ -35,10 +36,19 @@
         life: u32,
         token: Token,
     },
+    /// The bytes of a call go, on a connection that came up late.
+    Goes {
+        trip: u64,
+    },
     /// A call's last byte reaches its target.
     Reaches {
         trip: u64,
     },
+    /// The head of an answer tells a wait; the outcome follows.
+    Told {
+        trip: u64,
+        wait: Micros,
+    },
     /// A trip's outcome reaches its forwarder.
     Ends {
         trip: u64,
@@ -134,6 +144,8 @@
     target: TargetId,
     sent: Micros,
     mark: Option<u64>,
+    /// Its connection is still to come up.
+    late: bool,
 }
 
 /// Connections to one target: how many are open, and those that stand idle, by forwarder, each since when.
@@ -177,6 +189,7 @@
     tally: Tally,
     clients: Pcg64Mcg,
     lags: Pcg64Mcg,
+    lateness: Pcg64Mcg,
     /// Until when discovery tells nothing.
     stale_until: Micros,
     /// Until when discovery has calls to work off.
@@ -211,6 +224,7 @@
             next_trip: 0,
             clients: stream(seed, "clients", 0),
             lags: stream(seed, "lags", 0),
+            lateness: stream(seed, "lateness", 0),
             stale_until: 0,
             discovery_busy: 0,
             pending_troubles: 0,
@@ -291,7 +305,9 @@
             }
             Happening::HandIn { packet } => self.hand_in(packet),
             Happening::Alarm { forwarder, life, token } => self.give(forwarder, life, Event::Alarm { token }),
+            Happening::Goes { trip } => self.goes(trip),
             Happening::Reaches { trip } => self.reaches(trip),
+            Happening::Told { trip, wait } => self.wait_told(trip, wait),
             Happening::Ends { trip, outcome } => self.trip_ends(trip, outcome),
             Happening::ProbeReaches { forwarder, life, target, sent } => {
                 let fate = self.receivers.probe(self.now, Layout::target(target), forwarder);
@@ -333,6 +349,24 @@
         }
     }
 
+    /// What binds at this moment binds the call, whenever it was chosen.
+    fn goes(&mut self, number: u64) {
+        let Some(trip) = self.trips.get_mut(&number) else { return }; // taken back, or called off
+        trip.late = false;
+        let (forwarder, target, of) = (trip.forwarder, trip.target, trip.of);
+        let place = Layout::target(target);
+        let what = format!("packet {of} of forwarder {forwarder} to target {place}, chosen before");
+        self.oracle.check_bound(
+            forwarder,
+            place,
+            target.holder,
+            self.layout.targets[place].gate,
+            self.now,
+            &what,
+        );
+        self.arrange(self.now + self.scenario.network.delay.0, Happening::Reaches { trip: number });
+    }
+
     fn reaches(&mut self, number: u64) {
         let Some(trip) = self.trips.get(&number) else { return }; // it was called off on its way
         let target = Layout::target(trip.target);
@@ -348,15 +382,19 @@
             Says::Full { wait } => O::Full { wait },
             Says::Crowded => O::Full { wait: None },
             Says::Refused | Says::Cut => O::NoConnection,
-            Says::Reset | Says::Garbled => O::Reset,
+            Says::Reset | Says::Garbled | Says::FullCut { .. } => O::Reset,
             Says::Silent => return,
         };
         let at = fate.at.max(self.now) + self.scenario.network.delay.0;
+        if let Says::FullCut { wait: Some(wait) } = fate.says {
+            self.arrange(at, Happening::Told { trip: number, wait });
+        }
         self.arrange(at, Happening::Ends { trip: number, outcome });
     }
 
-    /// Takes an idle connection or opens one; gives what it costs in time, or none where the target takes no more.
-    fn connect(&mut self, forwarder: u32, target: usize) -> Option<Micros> {
+    /// Takes an idle connection or opens one; gives what it costs in time and how late it comes up beside that, or none
+    /// where the target takes no more.
+    fn connect(&mut self, forwarder: u32, target: usize) -> Option<(Micros, Micros)> {
         let group = &self.scenario.destinations[self.layout.targets[target].group];
         let (now, idle_for) = (self.now, group.idle.0 - group.idle.0 / 10);
         let c = &mut self.connections[target];
@@ -376,10 +414,13 @@
         }
         c.busy += 1;
         match kept.take() {
-            Some(_) => Some(0),
+            Some(_) => Some((0, 0)),
             None => {
                 self.tally.counts.handshakes += 1;
-                Some(2 * self.scenario.network.delay.0 + group.handshake.0)
+                let late = self.scenario.network.late.as_ref();
+                let late = late.filter(|late| self.lateness.random_bool(late.share));
+                let late = late.map_or(0, |late| self.lateness.random_range(0..=late.most.0));
+                Some((2 * self.scenario.network.delay.0 + group.handshake.0, late))
             }
         }
     }
--- a/crates/lab/src/sim/stations.rs
+++ b/crates/lab/src/sim/stations.rs
@@ -202,8 +202,15 @@
                     self.arrange(at, Happening::Note { from: forwarder, to, note });
                 }
             }
-            // A call goes as it is sent: nothing is there to be taken back.
-            Action::TakeBack { .. } => {}
+            Action::TakeBack { target } => {
+                let back = |t: &Trip| t.forwarder == forwarder && t.target == target && t.late;
+                let mut late: Vec<u64> =
+                    self.trips.iter().filter(|(_, t)| back(t)).map(|(n, _)| *n).collect();
+                late.sort_unstable();
+                for trip in late {
+                    self.arrange(self.now, Happening::Ends { trip, outcome: Outcome::TakenBack });
+                }
+            }
             Action::Watch { .. } | Action::FetchList | Action::Log(_) | Action::Fault(_) => {}
         }
     }
@@ -237,12 +244,18 @@
         self.tally.calls_out += 1;
         self.tally.tick(now, Tick::Call);
         let mark = self.mark(of, profile);
-        let out = Trip { forwarder, packet: id, duty, of, number, target, sent: now, mark };
+        let connected = self.connect(forwarder, place);
+        let late = connected.is_some_and(|(_, late)| late > 0);
+        let out = Trip { forwarder, packet: id, duty, of, number, target, sent: now, mark, late };
         self.trips.insert(trip, out);
         let delay = self.scenario.network.delay.0;
-        match self.connect(forwarder, place) {
-            Some(cost) => {
-                self.arrange(now + cost + delay, Happening::Reaches { trip });
+        match connected {
+            Some((cost, late)) => {
+                let goes = now + cost + late;
+                match late {
+                    0 => self.arrange(goes + delay, Happening::Reaches { trip }),
+                    _ => self.arrange(goes, Happening::Goes { trip }),
+                }
                 let limit = limit.map_or(left, |l| l.min(left));
                 self.arrange(now + limit, Happening::Ends { trip, outcome: Outcome::Timeout });
             }
@@ -269,6 +282,9 @@
         self.count_outcome(outcome);
         let perhaps = if outcome.may_have_run() { Ran::Perhaps } else { Ran::No };
         self.oracle.over(trip.duty, forwarder, trip.sent, perhaps);
+        if outcome == Outcome::TakenBack {
+            self.oracle.never_went(trip.duty);
+        }
         let spot = self.layout.targets[place];
         if let Outcome::Full { wait: Some(wait) } = outcome {
             self.oracle.told_to_wait(forwarder, spot.gate, self.now, self.now + wait);
@@ -277,6 +293,7 @@
         let (life, ahead) = (station.life, station.ahead);
         let Some(held) = station.open.get_mut(&trip.packet) else { return };
         held.out.retain(|(_, n)| *n != number);
+        held.trips -= u32::from(outcome == Outcome::TakenBack);
         if outcome.may_have_run() && held.exposed.is_none() {
             held.exposed = Some((trip.sent + ahead, ZoneId(spot.zone)));
         }
@@ -295,6 +312,19 @@
         );
     }
 
+    /// The head of its answer tells a wait: heard at once, unless the process stands still.
+    pub(super) fn wait_told(&mut self, number: u64, wait: Micros) {
+        let Some(trip) = self.trips.get(&number) else { return };
+        let (forwarder, target) = (trip.forwarder, trip.target);
+        let station = &self.stations[forwarder as usize];
+        if station.paused {
+            return self.arrange(self.now + LOOK_AGAIN, Happening::Told { trip: number, wait });
+        }
+        let (gate, life) = (self.layout.targets[Layout::target(target)].gate, station.life);
+        self.oracle.told_to_wait(forwarder, gate, self.now, self.now + wait);
+        self.give(forwarder, life, Event::WaitTold { target, wait });
+    }
+
     /// Forgets a packet that is over and has no trip out.
     fn forget(&mut self, forwarder: u32, id: PacketId) {
         let station = &mut self.stations[forwarder as usize];
--- a/crates/lab/src/sim/tests.rs
+++ b/crates/lab/src/sim/tests.rs
@@ -110,3 +110,14 @@
     let [(served, refused), (served_alone, refused_alone)] = sums;
     assert!(served > served_alone && 2 * refused < refused_alone, "{sums:?}");
 }
+
+/// What the operators' full fleet showed: a wait is told, and a list drains, while connections are still to come up.
+#[test]
+fn calls_on_late_connections_heed_what_was_told_meanwhile() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../lab/scenarios/late-connections.toml");
+    let scenario = Scenario::load(std::path::Path::new(path)).expect("it is right");
+    let outcome = run(&scenario, 2, Make::True);
+    assert!(outcome.misses().is_empty(), "{:?}\n{:?}", outcome.misses(), outcome.breaks);
+    let broken = run(&scenario, 2, Make::TakesNothingBack).broken;
+    assert!(broken.contains_key("wait-not-heeded"), "{broken:?}");
+}
--- a/crates/lab/src/sockets/targets.rs
+++ b/crates/lab/src/sockets/targets.rs
@@ -219,13 +219,15 @@
         Says::Erred => ("error", Tick::Failed, Ran::Perhaps),
         Says::Full { .. } | Says::Crowded => ("refused", Tick::Refused, Ran::No),
         Says::Refused | Says::Cut => ("no-connection", Tick::Failed, Ran::No),
-        Says::Reset | Says::Garbled | Says::Silent => ("reset", Tick::Failed, Ran::Perhaps),
+        Says::Reset | Says::Garbled | Says::FullCut { .. } | Says::Silent => {
+            ("reset", Tick::Failed, Ran::Perhaps)
+        }
     };
     state.tally.outcome(name);
     state.tally.tick(now, tick);
     state.tally.calls_out = state.tally.calls_out.saturating_sub(1);
     state.oracle.over(duty, forwarder, since, ran);
-    if let Says::Full { wait: Some(wait) } = fate.says {
+    if let Says::Full { wait: Some(wait) } | Says::FullCut { wait: Some(wait) } = fate.says {
         let gate = stage.layout.targets[target].gate;
         state.oracle.told_to_wait(forwarder, gate, now, now + wait);
     }
@@ -263,6 +265,14 @@
             conn.closed().await;
             return None;
         }
+        Says::FullCut { wait } => {
+            let wait = wait.map_or(String::new(), |wait| format!("Wait-Ms: {}\r\n", wait.div_ceil(1000)));
+            let head = format!("HTTP/1.1 429 Too Many Requests\r\n{wait}Content-Length: 5\r\n\r\nno");
+            let _ = conn.write(head.as_bytes()).await; // whoever has left does not hear it
+            tokio::time::sleep(CROSSING).await;
+            conn.reset();
+            return None;
+        }
         Says::Endless => {
             let mut written = conn.write(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n").await;
             while written.is_ok() {
--- a/crates/lab/src/subject.rs
+++ b/crates/lab/src/subject.rs
@@ -32,6 +32,8 @@
     SendsAfterDrain,
     /// Passes over the wait that it is told.
     IgnoresWaits,
+    /// Lets calls go that were chosen before a wait or a drain was told.
+    TakesNothingBack,
     /// Forgets one packet in ten instead of giving it its end.
     LosesPackets,
     /// Takes a returning target for a warm one.
@@ -164,6 +166,7 @@
             }
             match (self.make, &action) {
                 (Make::SecondAnswer, _) if end.is_some() => actions.push(action.clone()),
+                (Make::TakesNothingBack, Action::TakeBack { .. }) => continue,
                 (Make::LosesPackets, _) if end.is_some() && self.ends.is_multiple_of(10) => continue,
                 (Make::SendsTwice, Action::Send { .. }) => actions.push(action.clone()),
                 _ => {}
