--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,6 +1,6 @@
-//! Every decision of opalpulley. A front calls `Forwarder::new(terms, seed)` once, then `forwarder.handle(now, event,
-//! &mut actions)` for each event, in order, and carries out the actions. Three parts talk by notes only: `Forwarder`
-//! (loop, packet book, slots), a `Destination` (line, cap, pace, hold) and its `Target`s (places, recent outcomes,
+//! Every decision of opalpulley. A front calls `Forwarder::new(terms, seed)` once, then `handle(now, event, &mut
+//! actions)` for each event, in order, and carries out the actions. Three parts talk by notes only: `Forwarder`
+//! (loop, packet book, slots), a `Destination` (line, cap, pace, hold) and its `Target`s (places, outcomes,
 //! probing, drain, cold ramp). `Post` keeps an inbox for each; `Forwarder::settle` empties them.
 
 use crate::bucket::Bucket;
@@ -389,7 +389,7 @@
         }
     }
 
-    /// A told wait binds all behind the gate from when it is heard: also calls chosen before that have yet to go.
+    /// A told wait binds all behind the gate from when it is heard: also calls chosen before it.
     fn heed(&mut self, target: TargetId, wait: Micros, desk: &mut Desk) {
         let gate = self.gates.get_mut(&self.apart.then_some(target)).filter(|_| wait > 0);
         let Some(gate) = gate else { return };
@@ -650,7 +650,7 @@
         }
     }
 
-    /// Guards what binds from now on against calls and probes chosen before: those that have yet to go come back.
+    /// Guards what binds from now on against calls and probes chosen before: what has yet to go comes back.
     fn take_back(&self, bound: bool, desk: &mut Desk) {
         if bound && (!self.calls.is_empty() || self.next_probe == Micros::MAX) {
             desk.tell(ToForwarder::Do(Action::TakeBack { target: self.id }));
@@ -747,7 +747,7 @@
         }
         let may = desk.terms.may_probe && self.standing == Standing::Ready && !held;
         if may && self.health == Health::Aside && desk.now >= self.next_probe && self.budget.left >= 1.0 {
-            // A packet serves as the probe where a second call would come late, else by chance: probes may fail.
+            // A packet serves as the probe where a second call would come late, else by chance: they may fail.
             let late = even * Packet::ahead(desk.terms)[2] < SECOND;
             if scant || late || desk.rng.random_bool(PACKET_TRIES) {
                 return self.health = Health::Probed;
@@ -848,7 +848,7 @@
     }
 
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
-        // Guards drains against a process that stood still: what it was told meanwhile is read before it sends.
+        // Guards drains against a process that stood still: what it was told is read before it sends.
         if self.look.is_some_and(|due| now > due + self.terms.rules.drain_grace / 2) {
             (self.look, self.still) = (Some(now), now + TICK);
         }
