--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,7 +1,7 @@
-//! Every decision of opalpulley. A front calls `Forwarder::new(terms, seed)` once, then `handle(now, event, &mut
-//! actions)` for each event, in order, and carries out the actions. Three parts talk by notes only: `Forwarder`
-//! (loop, packet book, slots), a `Destination` (line, cap, pace, hold) and its `Target`s (places, outcomes,
-//! probing, drain, cold ramp). `Post` keeps an inbox for each; `Forwarder::settle` empties them.
+//! Every decision of opalpulley. A front calls `Forwarder::new(terms, seed)` once, then `handle(now, event,
+//! &mut actions)` for each event, in order, and carries out the actions. Three parts talk by notes only:
+//! `Forwarder` (loop, packet book, slots), a `Destination` (line, cap, pace, hold) and its `Target`s (places,
+//! outcomes, probing, drain, cold ramp). `Post` keeps an inbox for each; `Forwarder::settle` empties them.
 
 use crate::bucket::Bucket;
 use crate::hearsay::Hearsay;
@@ -747,7 +747,7 @@
         }
         let may = desk.terms.may_probe && self.standing == Standing::Ready && !held;
         if may && self.health == Health::Aside && desk.now >= self.next_probe && self.budget.left >= 1.0 {
-            // A packet serves as the probe where a second call would come late, else by chance: they may fail.
+            // A packet serves as the probe where a second call would come late, else by chance.
             let late = even * Packet::ahead(desk.terms)[2] < SECOND;
             if scant || late || desk.rng.random_bool(PACKET_TRIES) {
                 return self.health = Health::Probed;
