--- a/src/rules.rs
+++ b/src/rules.rs
@@ -701,10 +701,6 @@
             self.budget = Bucket { left: desk.rng.random(), filled: desk.now };
         }
         self.health = if desk.terms.may_probe { Health::Aside } else { Health::Probed };
-        if !desk.terms.may_probe {
-            let wait = (BASE_WAIT << self.failures.min(20)).min(Gate::longest(desk.terms) as Micros);
-            self.next_probe = desk.now + wait + (wait as f64 * JITTER * desk.rng.random::<f64>()) as Micros;
-        }
         self.recent.clear();
     }
 
@@ -781,10 +777,6 @@
         let open = match self.health {
             Health::Well => room,
             Health::Aside => 0,
-            // Where no probing is allowed packets try in turn, each after a longer wait.
-            Health::Probed if !desk.terms.may_probe => {
-                usize::from(self.calls.is_empty() && desk.now >= self.next_probe)
-            }
             Health::Probed | Health::Warming(_) => room.min(cold),
         };
         let failed = self.recent.iter().filter(|s| !**s).count();
@@ -868,8 +860,7 @@
                 if outcome == Outcome::Delivered {
                     self.times.learn(took as f64, NEW_ANSWER);
                 }
-                let broken = matches!(outcome, Outcome::NoConnection | Outcome::Reset);
-                let refused = f64::from(u8::from(broken));
+                let refused = f64::from(u8::from(outcome == Outcome::NoConnection));
                 self.refused += NEW_REFUSED * (refused - self.refused);
                 let full = self.targets.get(&target).filter(|_| matches!(outcome, Outcome::Full { .. }));
                 actions.extend(full.and_then(|t| self.hearsay.refused(now, t.destination, &self.terms)));
