A taken-back call: no record kind of its own, one header read, no last look while it connects

(2) A call that was given up was polled on for its last look although its connection was still coming up, and could begin to send then: only a call that has gone whole has an answer to look for (carry, targets.rs). (3) The wait header was decoded twice for each refusal, orders to calls were sent by two loops, what a spoilt refusal did was decided in two places (start). (4) A call taken back weighed as a good trip in the part of trips without a connection, and could fill a cold target's budget over its one call.

--- a/crates/forwarder/src/journal.rs
+++ b/crates/forwarder/src/journal.rs
@@ -70,10 +70,6 @@
                     }
                 }
             }
-            Record::TripTakenBack { trip, .. } => {
-                self.out.retain(|(t, ..)| t != trip);
-                self.trips = self.trips.min(u32::from(*trip));
-            }
             Record::Owes { ending, .. } => self.owed = Some(*ending),
             Record::Packet(_) | Record::Ended { .. } => {}
         }
@@ -87,7 +83,6 @@
     TripEnded { serial: u64, trip: u8, may_have_run: bool },
     Owes { serial: u64, ending: Ending },
     Ended { serial: u64 },
-    TripTakenBack { serial: u64, trip: u8 }, // last: records of earlier versions are told by their place
 }
 
 impl Record {
@@ -96,7 +91,6 @@
             Record::Packet(kept) => kept.serial,
             Record::TripStarted { serial, .. }
             | Record::TripEnded { serial, .. }
-            | Record::TripTakenBack { serial, .. }
             | Record::Owes { serial, .. }
             | Record::Ended { serial } => *serial,
         }
@@ -321,9 +315,13 @@
         self.append(Record::TripEnded { serial, trip, may_have_run })
     }
 
-    /// The trip never went: its number is free again.
+    /// The trip never went: its number is free again. The packet is written anew as it stood before, for earlier versions
+    /// read this journal too.
     pub fn trip_taken_back(&mut self, serial: u64, trip: u8) -> io::Result<()> {
-        self.append(Record::TripTakenBack { serial, trip })
+        let Some((mut kept, _)) = self.live.get(&serial).cloned() else { return Ok(()) };
+        kept.out.retain(|(t, ..)| *t != trip);
+        kept.trips = u32::from(trip);
+        self.append(Record::Packet(kept))
     }
 
     /// The packet's end is decided; the platform has still to hear of it.
--- a/crates/forwarder/src/protocol.rs
+++ b/crates/forwarder/src/protocol.rs
@@ -194,14 +194,14 @@
     Some((longest.min(LONGEST_WAIT_MS) * 1000.0).ceil() as Micros)
 }
 
-/// How a call or probe went, by the answer's head: its outcome, and whether the packet is over.
-pub fn decode_answer(status: StatusCode, headers: &HeaderMap) -> (Outcome, bool) {
+/// How a call or probe went, by the answer's head and the wait that it tells: its outcome, and whether the packet is over.
+pub fn decode_answer(status: StatusCode, headers: &HeaderMap, wait: Option<Micros>) -> (Outcome, bool) {
     let number = |name: &str| {
         headers.get(name).and_then(|v| v.to_str().ok()).and_then(|v| v.trim().parse::<f64>().ok())
     };
     match status.as_u16() {
         200 => (Outcome::Delivered, true),
-        429 => (Outcome::Full { wait: decode_wait(headers) }, false),
+        429 => (Outcome::Full { wait }, false),
         503 if number("slots-taken") == Some(1.0) => (Outcome::Moot { no_slot: true }, false),
         503 => (Outcome::Full { wait: None }, false),
         504 => (Outcome::Moot { no_slot: false }, false),
--- a/crates/forwarder/src/protocol/tests.rs
+++ b/crates/forwarder/src/protocol/tests.rs
@@ -174,6 +174,6 @@
         values.iter().for_each(|v| _ = headers.append("wait-ms", v.parse().expect("a value")));
         assert_eq!(decode_wait(&headers), wait, "{values:?}");
         let full = (Outcome::Full { wait }, false);
-        assert_eq!(decode_answer(StatusCode::TOO_MANY_REQUESTS, &headers), full, "{values:?}");
+        assert_eq!(decode_answer(StatusCode::TOO_MANY_REQUESTS, &headers, wait), full, "{values:?}");
     }
 }
--- a/crates/forwarder/src/targets.rs
+++ b/crates/forwarder/src/targets.rs
@@ -15,7 +15,7 @@
 use slog::{debug, error, Logger};
 use std::collections::BTreeMap;
 use std::fmt;
-use std::future::pending;
+use std::future::{pending, ready};
 use std::pin::{pin, Pin};
 use std::sync::Arc;
 use std::task::{Context, Poll};
@@ -163,8 +163,8 @@
     Probe,
 }
 
-/// What a call or probe under way is told.
-#[derive(Clone, Copy)]
+/// What a call or probe under way is told; a later one takes nothing of an earlier one back.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Order {
     GoOn,
     TakeBack,
@@ -234,23 +234,19 @@
                 self.start(Errand::Probe, request, limit, limit);
             }
             TargetNote::CallOff { id, trip } => {
-                let named = |u: &&mut Underway| matches!(u.errand, Errand::Trip { id: i, trip: t } if (i, t) == (id, trip));
-                self.underway
-                    .values_mut()
-                    .filter(named)
-                    .for_each(|u| _ = u.orders.send_replace(Order::CallOff));
-            }
-            TargetNote::TakeBack => {
-                let goes_on = |u: &&Underway| !matches!(*u.orders.borrow(), Order::CallOff);
-                self.underway
-                    .values()
-                    .filter(goes_on)
-                    .for_each(|u| _ = u.orders.send_replace(Order::TakeBack));
+                let named = |e| matches!(e, Errand::Trip { id: i, trip: t } if (i, t) == (id, trip));
+                self.order(named, Order::CallOff);
             }
+            TargetNote::TakeBack => self.order(|_| true, Order::TakeBack),
             TargetNote::CloseIdle => self.idle.clear(),
         }
     }
 
+    fn order(&self, whom: impl Fn(Errand) -> bool, order: Order) {
+        let underway = self.underway.values().filter(|u| whom(u.errand));
+        underway.for_each(|u| u.orders.send_modify(|now| *now = order.max(*now)));
+    }
+
     fn call(&mut self, call: Call) {
         let mark = call.mark.as_deref();
         let request = protocol::encode_call(self.id, &call.request_id, mark, call.limit, &call.body);
@@ -291,33 +287,35 @@
                     return None;
                 }
             };
-            let (outcome, over) = protocol::decode_answer(answer.status(), answer.headers());
-            let report = protocol::decode_report(answer.headers(), &links.names);
             let wait = protocol::decode_wait(answer.headers());
+            let (outcome, over) = protocol::decode_answer(answer.status(), answer.headers(), wait);
+            let report = protocol::decode_report(answer.headers(), &links.names);
             let rest = Limited::new(answer.into_body(), protocol::MOST_BODY).collect();
             let mut rest =
                 pin!(async { matches!(tokio::time::timeout(DRAIN, rest).await, Ok(Ok(_))) });
-            let at_once = tokio::time::timeout(Duration::ZERO, &mut rest).await.ok();
-            // A wait binds from its head on, whatever comes of the rest.
-            let told_with_the_end = matches!(outcome, Outcome::Full { .. }) && at_once == Some(true);
-            if let Some(wait) = wait.filter(|_| !told_with_the_end) {
+            let at_once = tokio::select! {
+                biased;
+                whole = &mut rest => Some(whole),
+                () = ready(()) => None,
+            };
+            // A wait binds from its head on, whatever comes of the rest; a refusal that is whole tells it with its end.
+            let refused = matches!(outcome, Outcome::Full { .. }) && at_once == Some(true);
+            if let Some(wait) = wait.filter(|_| !refused) {
                 links.say(Event::WaitTold { target, wait }).await;
             }
             // What ran, or may have, is told by the head. That it did not run is believed of a whole answer only.
-            if outcome.may_have_run() {
-                links.tell(target, errand, outcome, over, report, began).await;
-                let whole = match at_once {
-                    Some(whole) => whole,
-                    None => rest.await,
-                };
-                return line.served(whole).await;
+            let head_tells = outcome.may_have_run();
+            if head_tells {
+                links.tell(target, errand, outcome, over, report.clone(), began).await;
             }
             let whole = match at_once {
                 Some(whole) => whole,
                 None => rest.await,
             };
-            let (outcome, over) = if whole { (outcome, over) } else { (Outcome::Reset, false) };
-            links.tell(target, errand, outcome, over, report, began).await;
+            if !head_tells {
+                let (outcome, over) = if whole { (outcome, over) } else { (Outcome::Reset, false) };
+                links.tell(target, errand, outcome, over, report, began).await;
+            }
             line.served(whole).await
         });
         self.underway.insert(task.id(), Underway { errand, began, orders });
@@ -446,12 +444,12 @@
         }
     };
     // Looked at in the same turn in which the work goes on: a call handed to a connection has no byte there before that.
+    let whole = || sight().is_some_and(|s| s.sent() >= length);
     let ordered = async {
         while orders.changed().await.is_ok() {
-            let whole = sight().is_some_and(|s| s.sent() >= length);
             match *orders.borrow_and_update() {
                 Order::CallOff => return Why::CalledOff,
-                Order::TakeBack if !whole => return Why::TakenBack,
+                Order::TakeBack if !whole() => return Why::TakenBack,
                 Order::TakeBack | Order::GoOn => {}
             }
         }
@@ -473,8 +471,9 @@
     };
     let ended = match ended {
         Ok(ended) => ended,
-        // Guards a wait against a call given up as its answer comes: what is in the socket by now counts.
-        Err(why @ (Why::OutOfTime | Why::CalledOff)) => tokio::select! {
+        // Guards a wait against a call given up as its answer comes: what is in the socket by now counts. One that has not
+        // gone whole has no answer, and is not to go on.
+        Err(why @ (Why::OutOfTime | Why::CalledOff)) if whole() => tokio::select! {
             biased;
             ended = &mut work => ended,
             () = last_look() => gone(why),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -356,7 +356,13 @@
     }
 
     fn trip_over(&mut self, id: PacketId, trip: (TargetId, Micros), outcome: Outcome, desk: &mut Desk) {
-        let ((target, sent), Some(packet)) = (trip, self.packets.get_mut(&id)) else { return };
+        let (target, sent) = trip;
+        if let Outcome::Full { wait } = outcome {
+            self.heed(target, wait.unwrap_or(0), desk);
+            let gate = self.gates.get_mut(&self.apart.then_some(target));
+            gate.into_iter().for_each(|gate| gate.refused(sent, desk));
+        }
+        let Some(packet) = self.packets.get_mut(&id) else { return };
         let zone = self.cards.get(&target).map_or(0, |c| c.zone);
         if let (Outcome::Timeout | Outcome::Reset | Outcome::CalledOff, Some(key)) = (outcome, packet.key) {
             desk.tell(ToForwarder::Unclear { key });
@@ -364,20 +370,13 @@
         if outcome.may_have_run() && packet.exposed.is_none() {
             packet.exposed = Some((sent, zone));
         }
-        let over = packet.over || outcome == Outcome::Delivered;
-        if outcome == Outcome::TakenBack && !over {
+        if packet.over || outcome == Outcome::Delivered {
+            return self.end(id, None, desk);
+        }
+        if outcome == Outcome::TakenBack {
             packet.trips -= 1; // it keeps its place in the line
             return self.line.join(&packet.entry(desk.terms));
         }
-        if let Outcome::Full { wait } = outcome {
-            self.heed(target, wait.unwrap_or(0), desk);
-            let gate = self.gates.get_mut(&self.apart.then_some(target));
-            gate.into_iter().for_each(|gate| gate.refused(sent, desk));
-        }
-        if over {
-            return self.end(id, None, desk);
-        }
-        let Some(packet) = self.packets.get_mut(&id) else { return };
         let longest = (LONGEST_WAIT * desk.row(packet.profile).expiry as f64) as Micros;
         let wait = (BASE_WAIT << packet.trips.saturating_sub(1).min(20)).min(longest);
         // Guards against clumps that come due together: chance spreads them, and the waits still grow.
@@ -664,7 +663,7 @@
         match outcome {
             // Guards against taking a full connection table for an outage: others of our calls got through.
             Outcome::NoConnection if passing => return self.refusals += 1,
-            Outcome::TakenBack => return self.budget.left += 1.0,
+            Outcome::TakenBack => return self.budget.left = (self.budget.left + 1.0).min(1.0),
             Outcome::CalledOff | Outcome::Moot { .. } => return,
             Outcome::Delivered => {
                 (self.answered, self.failures) = (desk.now, 0);
@@ -860,8 +859,10 @@
                 if outcome == Outcome::Delivered {
                     self.times.learn(took as f64, NEW_ANSWER);
                 }
-                let refused = f64::from(u8::from(outcome == Outcome::NoConnection));
-                self.refused += NEW_REFUSED * (refused - self.refused);
+                if outcome != Outcome::TakenBack {
+                    let refused = f64::from(u8::from(outcome == Outcome::NoConnection));
+                    self.refused += NEW_REFUSED * (refused - self.refused);
+                }
                 let full = self.targets.get(&target).filter(|_| matches!(outcome, Outcome::Full { .. }));
                 actions.extend(full.and_then(|t| self.hearsay.refused(now, t.destination, &self.terms)));
                 self.pass_on(id, ToDestination::Over { id, target, outcome, took, closed });
