--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -138,13 +138,14 @@
     pub list_lag: Span,
     /// A connection that takes longer to come up counts as none.
     pub connect_within: Span,
-    /// Some new connections come up late (simulated clock only).
+    /// Some new connections come up late.
     pub late: Option<Late>,
     /// The list is told to those that ask for it; left out, it comes by itself (simulated clock only).
     pub asked: Option<Asked>,
 }
 
-/// Connections that come up late, each by an even chance of up to `most`.
+/// Connections that come up late, each by an even chance of up to `most`; on sockets a second later, or as the kernel tries
+/// again, so that `connect_within` has to leave room for it.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Late {
