Order by key on sockets: the platform's key is read, journalled and kept over restarts

Cause: module.rs gave every arrival key: None; the codec read no key. Test on the real program, over a kill: fails without it (the second goes at once).

--- a/crates/forwarder/src/journal.rs
+++ b/crates/forwarder/src/journal.rs
@@ -33,6 +33,9 @@
     pub again: bool,
     pub orphan: bool,
     pub body: Bytes,
+    /// By which it keeps its order. Records of earlier versions have none, so it is written beside them.
+    #[serde(skip)]
+    pub key: Option<u64>,
     pub trips: u32,
     /// The earliest trip that may have run: when it began, and in which zone.
     pub exposed: Option<(Micros, u16)>,
@@ -71,7 +74,7 @@
                 }
             }
             Record::Owes { ending, .. } => self.owed = Some(*ending),
-            Record::Packet(_) | Record::Ended { .. } => {}
+            Record::Packet(_) | Record::Keyed(..) | Record::Ended { .. } => {}
         }
     }
 }
@@ -79,16 +82,39 @@
 #[derive(Debug, Serialize, Deserialize)]
 enum Record {
     Packet(Kept),
-    TripStarted { serial: u64, trip: u8, at: Micros, zone: u16 },
-    TripEnded { serial: u64, trip: u8, may_have_run: bool },
-    Owes { serial: u64, ending: Ending },
-    Ended { serial: u64 },
+    TripStarted {
+        serial: u64,
+        trip: u8,
+        at: Micros,
+        zone: u16,
+    },
+    TripEnded {
+        serial: u64,
+        trip: u8,
+        may_have_run: bool,
+    },
+    Owes {
+        serial: u64,
+        ending: Ending,
+    },
+    Ended {
+        serial: u64,
+    },
+    /// A packet with the key by which it keeps its order.
+    Keyed(Kept, u64),
 }
 
 impl Record {
+    fn packet(kept: Kept) -> Record {
+        match kept.key {
+            Some(key) => Record::Keyed(kept, key),
+            None => Record::Packet(kept),
+        }
+    }
+
     fn serial(&self) -> u64 {
         match self {
-            Record::Packet(kept) => kept.serial,
+            Record::Packet(kept) | Record::Keyed(kept, _) => kept.serial,
             Record::TripStarted { serial, .. }
             | Record::TripEnded { serial, .. }
             | Record::Owes { serial, .. }
@@ -198,6 +224,7 @@
     /// Carries a record over into memory.
     fn note(&mut self, record: Record, number: u64) {
         match record {
+            Record::Keyed(kept, key) => self.note(Record::Packet(Kept { key: Some(key), ..kept }), number),
             Record::Packet(kept) => {
                 self.forget(kept.serial);
                 self.live_bytes += weight(&kept);
@@ -285,7 +312,7 @@
             let Some(oldest) = self.segments.front() else { return Ok(()) };
             let number = oldest.number;
             let here = self.live.values().filter(|(_, copy)| *copy == number);
-            let records: Vec<Record> = here.map(|(kept, _)| Record::Packet(kept.clone())).collect();
+            let records: Vec<Record> = here.map(|(kept, _)| Record::packet(kept.clone())).collect();
             for record in records {
                 self.put(&encode(&record)?, record)?;
             }
@@ -303,7 +330,7 @@
         kept.serial = self.next_serial;
         self.next_serial += 1;
         let serial = kept.serial;
-        self.append(Record::Packet(kept))?;
+        self.append(Record::packet(kept))?;
         Ok(serial)
     }
 
@@ -321,7 +348,7 @@
         let Some((mut kept, _)) = self.live.get(&serial).cloned() else { return Ok(()) };
         kept.out.retain(|(t, ..)| *t != trip);
         kept.trips = u32::from(trip);
-        self.append(Record::Packet(kept))
+        self.append(Record::packet(kept))
     }
 
     /// The packet's end is decided; the platform has still to hear of it.
--- a/crates/forwarder/src/journal/tests.rs
+++ b/crates/forwarder/src/journal/tests.rs
@@ -16,6 +16,7 @@
         again: n.is_multiple_of(3),
         orphan: n.is_multiple_of(5),
         body: Bytes::from(vec![n as u8; body]),
+        key: n.is_multiple_of(4).then_some(n),
         trips: 0,
         exposed: None,
         out: Vec::new(),
--- a/crates/forwarder/src/module.rs
+++ b/crates/forwarder/src/module.rs
@@ -7,8 +7,8 @@
 use crate::protocol::{Ending, Handed};
 use crate::targets::{Links, Target};
 use opalpulley::{
-    Action, Arrival, DestinationId, Event, Forwarder, ListNews, Listing, Micros, Outcome, PacketId, Past,
-    ProfileId, Standing, TargetId, TenantId, TermsOfCarriage, Token, ZoneId,
+    Action, Arrival, DestinationId, Event, Forwarder, ListNews, Listing, Micros, OrderKey, Outcome, PacketId,
+    Past, ProfileId, Standing, TargetId, TenantId, TermsOfCarriage, Token, ZoneId,
 };
 use slog::{crit, debug, error, info, warn, Logger};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -263,7 +263,7 @@
         }
         // Guards against two packets from one: a client whose answer was lost on the way sends the same id again.
         if let Some(open) = self.ids.get(&handed.request_id).and_then(|id| self.open.get(id)) {
-            let of = |h: &Handed| (h.profile, h.destination, h.mark.clone(), h.body.clone());
+            let of = |h: &Handed| (h.profile, h.destination, h.key, h.mark.clone(), h.body.clone());
             let same = of(&open.handed) == of(&handed);
             let _ = answer.send(if same { Answer::Taken } else { Answer::OtherContent });
             return;
@@ -350,6 +350,7 @@
                 destination: DestinationId(kept.destination),
                 left: kept.expires.saturating_sub(now),
                 mark: kept.mark,
+                key: kept.key,
                 again: kept.again,
                 orphan: kept.orphan,
                 body: kept.body,
@@ -583,6 +584,7 @@
         again: handed.again,
         orphan: handed.orphan,
         body: handed.body.clone(),
+        key: handed.key,
         trips: 0,
         exposed: None,
         out: Vec::new(),
@@ -595,7 +597,7 @@
         id,
         profile: handed.profile,
         tenant: handed.tenant.unwrap_or(NO_TENANT),
-        key: None,
+        key: handed.key.map(OrderKey),
         left: handed.left,
         hint: None,
         destination: handed.destination,
--- a/crates/forwarder/src/module/tests.rs
+++ b/crates/forwarder/src/module/tests.rs
@@ -92,6 +92,7 @@
         destination: DestinationId(7),
         left: 20_000_000,
         mark: Some(id.into()),
+        key: None,
         again: false,
         orphan: false,
         body: bytes::Bytes::from_static(b"ride"),
--- a/crates/forwarder/src/protocol.rs
+++ b/crates/forwarder/src/protocol.rs
@@ -17,6 +17,7 @@
 pub const MOST_BODY: usize = 64 * 1024; // bytes, the protocol's limit
 pub const MOST_AHEAD: usize = 32 * 1024; // bytes read ahead on a connection, the longest head: hundreds fit the memory
 const LONGEST_WAIT_MS: f64 = 86_400_000.0; // a day, over any expiry: more than that is not told apart
+const KEY_DIGITS: usize = 16; // of a key of order, as the platform writes it
 const LONGEST_NAME: usize = 256; // bytes of a request id or idempotency key: far over any in use
 
 pub const UP: &str = "/up";
@@ -26,6 +27,7 @@
 const TIME_LEFT: &str = "request-timeout-ms";
 const MARK: &str = "idempotency-key";
 const RETRY: &str = "client-retry";
+const KEY: &str = "affinity-key";
 const ENVELOPE: &str = "envelope";
 
 /// A packet as a client hands it in.
@@ -38,6 +40,8 @@
     pub destination: DestinationId,
     pub left: Micros,
     pub mark: Option<String>,
+    /// Packets of a profile that keeps order go one at a time where they have the same.
+    pub key: Option<u64>,
     pub again: bool,
     pub orphan: bool,
     pub body: Bytes,
@@ -130,6 +134,7 @@
         return Err(wrong(format!("{MARK} is missing, and {} needs one", form.name)));
     }
     let retry = text(RETRY)?;
+    let key = text(KEY)?.filter(|key| !key.is_empty()).map(order_key);
     let tenant = text(TENANT)?.and_then(|name| names.tenants.iter().position(|t| t == name));
     Ok(Handed {
         request_id: needed(ID)?.to_owned(),
@@ -138,12 +143,20 @@
         destination: DestinationId(destination),
         left,
         mark,
+        key,
         again: retry == Some("1"),
         orphan: retry == Some("again"),
         body: Bytes::new(),
     })
 }
 
+/// The number by which a key of order is kept: its own, where it is written as the platform does, else one that its text
+/// gives, the same in each version. Two texts may share one, which keeps an order that nobody asked for.
+fn order_key(text: &str) -> u64 {
+    let own = (text.len() == KEY_DIGITS).then(|| u64::from_str_radix(text, 16).ok()).flatten();
+    own.unwrap_or_else(|| crc32fast::hash(text.as_bytes()).into())
+}
+
 /// A request to a target, and how many bytes it takes on the connection.
 #[derive(Clone)]
 pub struct Outgoing {
--- a/crates/forwarder/src/protocol/tests.rs
+++ b/crates/forwarder/src/protocol/tests.rs
@@ -45,6 +45,7 @@
         destination: DestinationId(7),
         left: 480_000,
         mark: Some("5c0f6e1a2b3d4c59a8b7c6d5e4f30211".into()),
+        key: None,
         again: false,
         orphan: false,
         body: Bytes::new(),
@@ -55,6 +56,12 @@
         let handed = decode_head(&head("/notice", &headers), &names(), &forms(false)).expect("good");
         assert_eq!((handed.again, handed.orphan), (again, orphan));
     }
+    let long = crc32fast::hash(b"account 000b832b68ec333d").into();
+    for (text, key) in [("000b832b68ec333d", 0x000b_832b_68ec_333d), ("account 000b832b68ec333d", long)] {
+        let headers = [PAGE.as_slice(), &[("Affinity-Key", text)]].concat();
+        let handed = decode_head(&head("/notice", &headers), &names(), &forms(false)).expect("good");
+        assert_eq!(handed.key, Some(key));
+    }
 }
 
 /// Guards against what two readers of a request may take for different things.
--- a/crates/forwarder/tests/program.rs
+++ b/crates/forwarder/tests/program.rs
@@ -452,6 +452,45 @@
     }
 }
 
+/// Guards the order of a key, also over a kill with its first packet out: the second goes once the first is over.
+#[test]
+fn packets_of_one_key_go_one_at_a_time_also_over_a_kill() {
+    let open = Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let gate = open.clone();
+    let (target, seen) = serve(move |m, _| {
+        let hangs = m.headers["request-id"] == "first" && !gate.load(std::sync::atomic::Ordering::Relaxed);
+        (!hangs).then(|| plain("200 OK")).flatten()
+    });
+    let platform = platform(vec![member(target, 7, "Ready")], 0);
+    let (_dir, state) = folder();
+    let text = config("notice", "guarded", 200, 3.0)
+        .replace("\"Points\":1.0", "\"Points\":1.0,\"SerialByKey\":true");
+    let mut forwarder = start(&state, &text, platform.address);
+    let give = |forwarder: &Forwarder, id: &str, key: &str| {
+        let head =
+            hand_in_head(id, "notice", 4).replace("\r\n\r\n", &format!("\r\nAffinity-Key: {key}\r\n\r\n"));
+        assert_eq!(forwarder.ask(&head, b"body"), 202, "{id}");
+    };
+    give(&forwarder, "first", "000b832b68ec333d");
+    until("the first is out", || calls(&seen, "first") == 1);
+    give(&forwarder, "second", "000b832b68ec333d");
+    give(&forwarder, "other", "00026d498200dd15");
+    until("one of another key passes it", || calls(&seen, "other") == 1);
+    assert_eq!(calls(&seen, "second"), 0);
+    forwarder.child.kill().expect("killed");
+    forwarder.child.wait().expect("ended");
+    forwarder = start(&state, &text, platform.address);
+    until("the first is out again", || calls(&seen, "first") >= 2);
+    give(&forwarder, "last", "00026d498200dd15");
+    until("one of another key passes it again", || calls(&seen, "last") == 1);
+    assert_eq!(calls(&seen, "second"), 0);
+    open.store(true, std::sync::atomic::Ordering::Relaxed);
+    until("the second follows", || calls(&seen, "second") == 1);
+    let log = seen.lock().expect("the log");
+    let ids: Vec<&str> = log.iter().map(|m| m.headers["request-id"].as_str()).collect();
+    assert_eq!(ids[ids.len() - 2..], ["first", "second"], "{ids:?}");
+}
+
 /// The operators' full fleet: a wait was told by one target of a destination while the connection to another came up, and
 /// the call that was to go there went out on it all the same.
 #[test]
--- a/crates/lab/src/oracle.rs
+++ b/crates/lab/src/oracle.rs
@@ -375,11 +375,9 @@
         self.duties.get(&duty).map(|d| &d.taking)
     }
 
-    /// On sockets a call that its forwarder has closed is seen to end later: slots are not judged there, and the
-    /// platform's protocol carries no key of order.
+    /// On sockets a call that its forwarder has closed is seen to end later: slots are not judged there.
     pub fn for_sockets(mut self) -> Oracle {
         self.slots = u32::MAX;
-        self.profiles.iter_mut().for_each(|p| p.2 = false);
         self
     }
 
--- a/crates/lab/src/sockets/clients.rs
+++ b/crates/lab/src/sockets/clients.rs
@@ -263,6 +263,9 @@
     if profile.effect == Effect::Fingerprinted {
         text += &format!("Idempotency-Key: {packet:032x}\r\n");
     }
+    if profile.in_order {
+        text += &format!("Affinity-Key: {:016x}\r\n", due.key);
+    }
     if let Some(tenant) = due.tenant.and_then(|t| stage.scenario.tenants.get(t as usize)) {
         text += &format!("Tenant: {}\r\n", tenant.name);
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -967,8 +967,11 @@
         let Past { trips, exposed } = arrival.past;
         let past = Packet { trips, exposed: exposed.map(|(at, zone)| (at, zone.0)), ..Packet::default() };
         let packet = Packet { id, profile, worth, due, expires, key, turn, ready_at, ..past };
-        if let Some(key) = key {
-            self.turns.entry(key).or_default().line.push_back((id, destination));
+        if let Some(turns) = key.map(|key| self.turns.entry(key).or_default()) {
+            turns.line.push_back((id, destination));
+            // Guards the order over a restart: a trip of an earlier life may still run.
+            let rest = if exposed.is_some() { now + self.terms.rules.order_pause } else { 0 };
+            turns.rest = turns.rest.max(rest);
         }
         self.book.insert(id, (destination, key));
         self.destinations.entry(destination).or_default().id = destination;
