A client's close looks into the socket first; who stands in line at the shut is answered

Now Heard asks the socket itself where the runtime has nothing, so a request that lies there goes first and its answer is the last; and what stands in line at the shut is accepted before the listener goes. Two tests on real connections that force the order (bytes and close in one turn; eight in line before the door first runs): each seen to fail without its mend (heard nothing; heard: nothing, eight times).

--- a/crates/forwarder/src/clients.rs
+++ b/crates/forwarder/src/clients.rs
@@ -13,10 +13,11 @@
 use opalpulley::{Effect, ProfileTerms, TermsOfCarriage};
 use opalpulley_terms::Names;
 use slog::{debug, error, warn, Logger};
+use socket2::SockRef;
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::Future;
-use std::io;
+use std::io::{self, Read};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -190,12 +191,26 @@
     }
 }
 
-/// A client's stream, which tells that bytes have come.
+/// A client's stream, which tells that bytes have come. It asks the socket itself, for the runtime hears of bytes only as it
+/// rests: whoever closes a connection must see the request that lies in it unread.
 struct Heard {
     stream: TcpStream,
     presence: Arc<Presence>,
 }
 
+impl Heard {
+    fn look(&self, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        match (&*SockRef::from(&self.stream)).read(buf.initialize_unfilled()) {
+            Ok(n) => {
+                buf.advance(n);
+                Poll::Ready(Ok(()))
+            }
+            Err(problem) if problem.kind() == io::ErrorKind::WouldBlock => Poll::Pending,
+            Err(problem) => Poll::Ready(Err(problem)),
+        }
+    }
+}
+
 impl AsyncRead for Heard {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -203,7 +218,10 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let poll = match Pin::new(&mut self.stream).poll_read(cx, buf) {
+            Poll::Pending => self.look(buf),
+            ready => ready,
+        };
         if buf.filled().len() > before {
             self.presence.heard();
         }
@@ -297,13 +315,7 @@
             tokio::select! {
                 accepted = accept => match accepted {
                     Ok((stream, _)) => {
-                        let full = tasks.len() >= self.most - self.most / CROWDED;
-                        let crowded = full && !Self::close_one(&present);
-                        Self::close_idle(&present, self.most / IDLE_PART);
-                        let presence = Arc::new(Presence::new(turn.clone()));
-                        let desk = Desk { door: self.door.clone(), presence: presence.clone(), crowded };
-                        let task = tasks.spawn(serve(stream, desk));
-                        present.insert(task.id(), presence);
+                        self.admit(stream, &turn, &mut tasks, &mut present);
                     }
                     Err(problem) => {
                         warn!(self.door.log, "a client can't be accepted"; "problem" => %problem);
@@ -327,13 +339,33 @@
                         present.values().filter(|p| p.state().0 == Phase::Idle).for_each(|p| p.close());
                     }
                     if stage == Closing::Shut {
-                        listener = None;
+                        // Guards those that stand in line: they would be reset with the listener, unheard.
+                        let room = self.most.saturating_sub(tasks.len());
+                        for stream in listener.take().into_iter().flat_map(in_line).take(room) {
+                            self.admit(stream, &turn, &mut tasks, &mut present);
+                        }
                     }
                 }
             }
         }
     }
 
+    fn admit(
+        &self,
+        stream: TcpStream,
+        turn: &Arc<AtomicU64>,
+        tasks: &mut JoinSet<()>,
+        present: &mut BTreeMap<Id, Arc<Presence>>,
+    ) {
+        let full = tasks.len() >= self.most - self.most / CROWDED;
+        let crowded = full && !Self::close_one(present);
+        Self::close_idle(present, self.most / IDLE_PART);
+        let presence = Arc::new(Presence::new(turn.clone()));
+        let desk = Desk { door: self.door.clone(), presence: presence.clone(), crowded };
+        let task = tasks.spawn(serve(stream, desk));
+        present.insert(task.id(), presence);
+    }
+
     /// Guards clients that may hold only so many connections together against those among them that ask once and
     /// keep theirs for good: beyond `most` idle ones, those idle longest are closed.
     fn close_idle(present: &BTreeMap<Id, Arc<Presence>>, most: usize) {
@@ -353,6 +385,16 @@
     }
 }
 
+/// The connections that a listener has taken and nobody has accepted; with the last of them it is closed.
+fn in_line(listener: TcpListener) -> impl Iterator<Item = TcpStream> {
+    let listener = listener.into_std().ok();
+    std::iter::from_fn(move || {
+        let (stream, _) = listener.as_ref()?.accept().ok()?;
+        stream.set_nonblocking(true).ok()?;
+        TcpStream::from_std(stream).ok()
+    })
+}
+
 async fn serve(stream: TcpStream, desk: Desk) {
     let (log, presence) = (desk.door.log.clone(), desk.presence.clone());
     let head_time = if desk.crowded { SHORT } else { HEAD_TIME };
@@ -383,3 +425,6 @@
         debug!(log, "a client's connection ended early"; "problem" => %problem);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/forwarder/src/clients/tests.rs
@@ -0,0 +1,115 @@
+//! Bad orders at the door, each forced: whatever is tried is in the sockets before the door runs for the first time.
+
+use super::*;
+use std::io::{Read, Write};
+use std::net::SocketAddr;
+use std::thread::{spawn, JoinHandle};
+
+const REQUEST: &str =
+    "POST /notice HTTP/1.1\r\nHost: x\r\nRequest-Id: a\r\nRequest-Timeout-Ms: 480\r\nEnvelope: dest=7\r\n\
+                       Content-Length: 4\r\n\r\nbody";
+
+struct Rig {
+    clients: Clients,
+    listener: TcpListener,
+    closing: watch::Sender<Closing>,
+    hand_ins: mpsc::Receiver<HandIn>,
+}
+
+impl Rig {
+    async fn new(most: usize) -> Rig {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let (module, hand_ins) = mpsc::channel(64);
+        let names = Names {
+            profiles: vec!["notice".into()],
+            tenants: Vec::new(),
+            zones: Vec::new(),
+            kinds: Vec::new(),
+            reports: Vec::new(),
+        };
+        let row = ProfileTerms { effect: Effect::Retriable, expiry: 1_000_000, ..ProfileTerms::default() };
+        let terms = TermsOfCarriage { profiles: vec![row], ..TermsOfCarriage::default() };
+        let door = Arc::new(Door::new(names, &terms, module, Logger::root(slog::Discard, slog::o!())));
+        door.ready.store(true, Ordering::Relaxed);
+        let (closing, seen) = watch::channel(Closing::No);
+        Rig { clients: Clients { door, most, closing: seen }, listener, closing, hand_ins }
+    }
+
+    /// Clients whose connections stand in line, each with a request written; what each hears comes with its end.
+    fn come(&self, many: usize) -> Vec<JoinHandle<String>> {
+        let address: SocketAddr = self.listener.local_addr().expect("its address");
+        let come = |_| {
+            let mut stream = std::net::TcpStream::connect(address).expect("in line");
+            stream.write_all(REQUEST.as_bytes()).expect("written");
+            spawn(move || {
+                let mut heard = Vec::new();
+                let _ = stream.read_to_end(&mut heard); // a reset ends it too
+                String::from_utf8_lossy(&heard).lines().next().unwrap_or("nothing").to_owned()
+            })
+        };
+        (0..many).map(come).collect()
+    }
+
+    /// Runs the door until all these have heard their ends; each packet is taken on.
+    async fn heard(self, come: Vec<JoinHandle<String>>) -> Vec<String> {
+        let Rig { clients, listener, mut hand_ins, .. } = self;
+        tokio::spawn(clients.run(listener));
+        tokio::spawn(async move {
+            while let Some(HandIn { answer, .. }) = hand_ins.recv().await {
+                let _ = answer.send(Answer::Taken);
+            }
+        });
+        let ends =
+            tokio::task::spawn_blocking(|| come.into_iter().map(|c| c.join().expect("it ends")).collect());
+        ends.await.expect("they end")
+    }
+}
+
+/// Guards connections in the line of the listener as it is shut: each is answered, and none goes with the listener.
+#[tokio::test]
+async fn who_stands_in_line_as_the_door_is_shut_is_answered() {
+    let rig = Rig::new(16).await;
+    let come = rig.come(8);
+    rig.closing.send_replace(Closing::Shut);
+    assert_eq!(rig.heard(come).await, vec!["HTTP/1.1 202 Accepted"; 8]);
+}
+
+/// Guards a request that lies in the socket as its connection is to be closed, be it the first there or a later one: the
+/// runtime has not heard of it yet. It is read, and its answer is the last.
+#[tokio::test]
+async fn a_request_in_the_socket_goes_before_the_close_of_its_connection() {
+    for before in 0..2 {
+        let Rig { clients, listener, mut hand_ins, .. } = Rig::new(16).await;
+        let presence = Arc::new(Presence::new(Arc::default()));
+        let client = TcpStream::connect(listener.local_addr().expect("its address")).await.expect("in line");
+        let mut client = client.into_std().expect("a stream");
+        client.set_nonblocking(false).expect("it blocks");
+        let (stream, _) = listener.accept().await.expect("a client");
+        let desk = Desk { door: clients.door.clone(), presence: presence.clone(), crowded: false };
+        let served = tokio::spawn(serve(stream, desk));
+        tokio::spawn(async move {
+            while let Some(HandIn { answer, .. }) = hand_ins.recv().await {
+                let _ = answer.send(Answer::Taken);
+            }
+        });
+        let rested = async |phase| {
+            while presence.state().0 != phase {
+                tokio::task::yield_now().await;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        };
+        rested(Phase::Silent).await;
+        if before == 1 {
+            client.write_all(REQUEST.as_bytes()).expect("written");
+            rested(Phase::Idle).await;
+        }
+        // In one turn: nobody looks at the sockets between these.
+        client.write_all(REQUEST.as_bytes()).expect("written");
+        presence.close();
+        served.await.expect("it ends");
+        let mut heard = String::new();
+        let _ = client.read_to_string(&mut heard); // a reset ends it too
+        assert_eq!(heard.matches("HTTP/1.1 202").count(), before + 1, "{heard}");
+        assert_eq!(heard.matches("connection: close").count(), 1, "{heard}");
+    }
+}
