Order of a key: the next packet waits until the end of the one before is heard

Ruled out: the order of the actions (the end comes first), the key's rest (none was due). At fault: rules.rs, Ended passed the turn on at once. Now a key's turn passes on as the end is heard (Event::Heard), where ends travel apart (Ends::WhenHeard: on sockets); an end of an earlier life that is still owed stands first in its key (Event::Owed).

--- a/crates/forwarder/src/module.rs
+++ b/crates/forwarder/src/module.rs
@@ -73,7 +73,7 @@
     alarms: BTreeSet<(Micros, u64, Token)>, // each leaves as it rings
     later: VecDeque<Event>,          // emptied before the next note is read
     earlier: Option<Vec<Kept>>,      // packets of an earlier process, until the list is in
-    owing: BTreeSet<u64>,            // ends that the platform has not heard of; each leaves as it has
+    owing: BTreeMap<u64, PacketId>,  // ends that the platform has not heard of; each leaves as it has
     next_id: u32,
     next_alarm: u64,
     panics: u64,
@@ -117,7 +117,7 @@
             alarms: BTreeSet::new(),
             later: VecDeque::new(),
             earlier: None,
-            owing: BTreeSet::new(),
+            owing: BTreeMap::new(),
             next_id: 0,
             next_alarm: 0,
             panics: 0,
@@ -191,9 +191,10 @@
             }
             Note::Heard(serials) => {
                 for serial in serials {
-                    self.owing.remove(&serial);
+                    let heard = self.owing.remove(&serial);
                     let written = self.journal.ended(serial);
                     self.written(written);
+                    heard.into_iter().for_each(|id| self.handle(Event::Heard { id }));
                 }
             }
         }
@@ -298,6 +299,7 @@
         if refused.is_some() {
             // Its end is the client's own answer: nothing is owed to the platform.
             self.finish(id, None);
+            self.later.push_back(Event::Heard { id });
         }
         if answer.send(refused.unwrap_or(Answer::Taken)).is_err() && refused.is_none() {
             debug!(self.log, "a client left before its answer");
@@ -340,11 +342,18 @@
     fn restore(&mut self, packets: Vec<Kept>) {
         let now = self.clock.now();
         for kept in packets {
+            let id = self.new_id();
             if let Some(ending) = kept.owed {
-                self.owe(kept.serial, kept.request_id, ending);
+                if let Some(key) = kept.key.map(OrderKey) {
+                    self.handle(Event::Owed { id, profile: ProfileId(kept.profile), key });
+                }
+                // It goes on being told where the process is the same.
+                if !self.owing.contains_key(&kept.serial) {
+                    self.owe(id, kept.serial, kept.request_id, ending);
+                }
+                self.owing.insert(kept.serial, id);
                 continue;
             }
-            let id = self.new_id();
             let past = Past { trips: kept.trips, exposed: kept.exposed.map(|(at, zone)| (at, ZoneId(zone))) };
             let handed = Handed {
                 request_id: kept.request_id,
@@ -422,7 +431,7 @@
         let listed = self.peers.values().map(|p| p.listing.clone()).collect();
         self.decide(Event::List(ListNews::Cached(listed)), None);
         let packets = self.journal.after_restart();
-        self.restore(packets.into_iter().filter(|k| k.owed.is_none()).collect());
+        self.restore(packets);
         self.beginning = false;
     }
 
@@ -557,7 +566,7 @@
             Some(ending) => {
                 let written = self.journal.owes(serial, ending);
                 self.written(written);
-                self.owe(serial, request_id, ending);
+                self.owe(id, serial, request_id, ending);
             }
             None => {
                 let written = self.journal.ended(serial);
@@ -567,8 +576,8 @@
         self.close(id);
     }
 
-    fn owe(&mut self, serial: u64, request_id: String, ending: Ending) {
-        self.owing.insert(serial);
+    fn owe(&mut self, id: PacketId, serial: u64, request_id: String, ending: Ending) {
+        self.owing.insert(serial, id);
         if self.notices.send(Owed { serial, request_id, ending }).is_err() {
             error!(self.log, "nobody carries notices");
         }
--- a/crates/forwarder/src/papers.rs
+++ b/crates/forwarder/src/papers.rs
@@ -1,6 +1,7 @@
 //! The start papers: environment and configuration file, read, checked and given defaults here and nowhere else.
 
 use crate::protocol::ListText;
+use opalpulley::Ends;
 use opalpulley_terms::{Start, Waybill};
 use serde::Deserialize;
 use std::fmt;
@@ -151,6 +152,8 @@
         let rest = room - waybill.terms.slots as usize;
         // The protocol on sockets carries one packet in a call.
         waybill.terms.kinds.iter_mut().for_each(|k| k.per_call = 1);
+        // A notice and a call go on connections of their own.
+        waybill.terms.ends = Ends::WhenHeard;
         // Nothing can be told where nobody listens.
         let (neighbours, all) = (file.peer_listen.is_some() && !file.peers.is_empty(), file.peers_all);
         waybill.terms.may_tell &= neighbours && all.is_some();
--- a/crates/forwarder/tests/endings.rs
+++ b/crates/forwarder/tests/endings.rs
@@ -51,3 +51,36 @@
         assert_eq!(calls(&seen, "late"), 1);
     }
 }
+
+/// Guards the order of a key: an end that the platform has not heard yet is no end, also over a kill. The platform is deaf
+/// to the first notices; a call that overtakes them comes before it hears.
+#[test]
+fn the_next_packet_of_a_key_waits_until_the_end_before_it_is_heard() {
+    const DEAF: usize = 12;
+    let (target, seen) = serve(|m, _| match m.headers["request-id"].as_str() {
+        "first" => plain("503 Full"),
+        _ => plain("200 OK"),
+    });
+    let platform = platform(vec![member(target, 7, "Ready")], DEAF);
+    let (_dir, state) = folder();
+    let text = config("notice", "guarded", 200, 3.0)
+        .replace("\"Points\":1.0", "\"Points\":1.0,\"SerialByKey\":true");
+    let mut forwarder = start(&state, &text, platform.address);
+    let give = |forwarder: &Forwarder, id: &str, time: &str| {
+        let head = hand_in_head(id, "notice", 4)
+            .replace("20000", time)
+            .replace("\r\n\r\n", "\r\nAffinity-Key: 000b832b68ec333d\r\n\r\n");
+        assert_eq!(forwarder.ask(&head, b"body"), 202, "{id}");
+    };
+    give(&forwarder, "first", "700");
+    give(&forwarder, "second", "20000");
+    until("the end of the first is told", || told(&platform).len() >= 2);
+    assert_eq!(calls(&seen, "second"), 0);
+    forwarder.child.kill().expect("killed");
+    forwarder.child.wait().expect("ended");
+    forwarder = start(&state, &text, platform.address);
+    until("the second follows", || calls(&seen, "second") == 1);
+    let heard = told(&platform).len();
+    assert!(heard > DEAF, "it followed after {heard} notices, the {DEAF}th was not heard yet");
+    drop(forwarder);
+}
--- a/crates/lab/src/scenario/terms.rs
+++ b/crates/lab/src/scenario/terms.rs
@@ -28,6 +28,7 @@
             slots: crew.slots,
             room: crew.room,
             max_trips: crew.trips,
+            ends: opalpulley::Ends::default(),
             may_probe: crew.may_probe,
             may_call_off: crew.may_call_off,
             may_say_when: crew.may_say_when,
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -1,7 +1,7 @@
 //! The operators' start object: JSON to terms, for every front. Unknown keys are skipped.
 
 use opalpulley::{
-    Effect, Fading, KindTerms, ListRates, Micros, ProfileTerms, RepeatGroup, RuleTerms, TenantTerms,
+    Effect, Ends, Fading, KindTerms, ListRates, Micros, ProfileTerms, RepeatGroup, RuleTerms, TenantTerms,
     TermsOfCarriage,
 };
 use serde::Deserialize;
@@ -246,6 +246,7 @@
             slots: start.domain.workers,
             room: start.limits.max_open,
             max_trips: start.limits.max_attempts,
+            ends: Ends::default(),
             may_probe: start.limits.probing,
             may_call_off: start.limits.cancelling,
             may_say_when: start.limits.retry_after,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -154,6 +154,16 @@
     Withdrawn {
         id: PacketId,
     },
+    /// The end given to a packet has been heard: told where [`Ends::WhenHeard`] holds.
+    Heard {
+        id: PacketId,
+    },
+    /// An end of an earlier life that has still to be heard; packets of its key come after it. Heard under this id.
+    Owed {
+        id: PacketId,
+        profile: ProfileId,
+        key: OrderKey,
+    },
     Alarm {
         token: Token,
     },
@@ -296,6 +306,16 @@
     pub order_pause: Micros,
 }
 
+/// From when on the end given to a packet counts for those of its key that come after it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Ends {
+    /// From the action on: whoever carries the actions out hands them over in their order.
+    #[default]
+    AtOnce,
+    /// From [`Event::Heard`] on: an end and a call travel apart, and the call may overtake.
+    WhenHeard,
+}
+
 /// What a forwarder is told at its start.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct TermsOfCarriage {
@@ -306,6 +326,7 @@
     /// Packets held at once.
     pub room: u32,
     pub max_trips: u32,
+    pub ends: Ends,
     pub may_probe: bool,
     pub may_call_off: bool,
     pub may_say_when: bool,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -81,7 +81,7 @@
 
 enum ToForwarder {
     Do(Action),
-    Ended { id: PacketId },
+    Ended { id: PacketId, answered: bool },
     Unclear { key: OrderKey },
     Bid { destination: DestinationId, gain: f64 },
     State { destination: DestinationId, state: Option<State> },
@@ -349,10 +349,9 @@
         if let Some(packet) = self.packets.remove(&id) {
             self.line.leave(&packet.entry(desk.terms));
         }
-        if let Some(answer) = answer {
-            desk.tell(ToForwarder::Do(answer));
-        }
-        desk.tell(ToForwarder::Ended { id });
+        let answered = answer.is_some();
+        answer.into_iter().for_each(|answer| desk.tell(ToForwarder::Do(answer)));
+        desk.tell(ToForwarder::Ended { id, answered });
     }
 
     fn trip_over(&mut self, id: PacketId, trip: (TargetId, Micros), outcome: Outcome, desk: &mut Desk) {
@@ -813,6 +812,7 @@
     destinations: BTreeMap<DestinationId, Destination>, // emptied of those without targets, packets and holds
     targets: BTreeMap<TargetId, Target>,                // emptied of those gone for the warm-up time and idle
     turns: BTreeMap<OrderKey, Turns>, // emptied of a key once its line is empty and its rest over
+    unheard: BTreeMap<PacketId, OrderKey>, // of ends told and not heard yet; each leaves as it is heard
     shares: Vec<Bucket>,              // what is left of each tenant's share
     states: BTreeMap<DestinationId, State>, // only where anything is under way: work follows these
     bids: Vec<(f64, DestinationId)>,
@@ -836,6 +836,7 @@
             destinations: BTreeMap::new(),
             targets: BTreeMap::new(),
             turns: BTreeMap::new(),
+            unheard: BTreeMap::new(),
             shares,
             states: BTreeMap::new(),
             bids: Vec::new(),
@@ -878,6 +879,17 @@
             Event::ProbeAnswered { target, outcome, .. } => {
                 self.post.targets.push_back((target, ToTarget::Probed { outcome }));
             }
+            Event::Heard { id } => {
+                let key = self.unheard.remove(&id);
+                self.leave_turns(now, id, key);
+            }
+            Event::Owed { id, profile, key } => {
+                let row = self.terms.profiles.get(profile.0 as usize).filter(|row| row.in_order);
+                if let Some(turns) = row.map(|_| self.turns.entry(key).or_default()) {
+                    turns.line.push_back((id, DestinationId::default()));
+                    self.unheard.insert(id, key);
+                }
+            }
             Event::Alarm { token: Token(0) } => self.tick(now),
             Event::Closing => self.terms.slots = 0,
             Event::Neighbour { from, note } => {
@@ -986,6 +998,13 @@
         }
     }
 
+    fn leave_turns(&mut self, now: Micros, id: PacketId, key: Option<OrderKey>) {
+        if let Some(turns) = key.and_then(|key| self.turns.get_mut(&key)) {
+            turns.line.retain(|(waiting, _)| *waiting != id);
+        }
+        self.pass_turn(now, key);
+    }
+
     fn pass_turn(&mut self, now: Micros, key: Option<OrderKey>) {
         let Some(turns) = key.and_then(|k| self.turns.get(&k)) else { return };
         if let (true, Some((id, destination))) = (turns.rest <= now, turns.line.front()) {
@@ -1016,12 +1035,13 @@
     fn read(&mut self, now: Micros, note: ToForwarder, actions: &mut Vec<Action>) {
         match note {
             ToForwarder::Do(action) => actions.push(action),
-            ToForwarder::Ended { id } => {
+            ToForwarder::Ended { id, answered } => {
                 let key = self.book.remove(&id).and_then(|(_, key)| key);
-                if let Some(turns) = key.and_then(|key| self.turns.get_mut(&key)) {
-                    turns.line.retain(|(waiting, _)| *waiting != id);
+                // Guards the order against a call that overtakes the end of the packet before it.
+                match key.filter(|_| answered && self.terms.ends == Ends::WhenHeard) {
+                    Some(key) => _ = self.unheard.insert(id, key),
+                    None => self.leave_turns(now, id, key),
                 }
-                self.pass_turn(now, key);
             }
             ToForwarder::Unclear { key } => {
                 if let Some(turns) = self.turns.get_mut(&key) {
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -685,3 +685,26 @@
     assert!(!world.out().is_empty());
     Ok(())
 }
+
+/// An end travels to the platform apart from calls: one of the same key may not overtake it, nor one of an earlier life.
+#[test]
+fn a_key_waits_until_the_end_before_is_heard() -> Checked {
+    let mut terms = TermsOfCarriage { ends: Ends::WhenHeard, ..terms() };
+    terms.profiles.iter_mut().for_each(|p| p.in_order = true);
+    let mut world = World::new(terms, vec![listing(1, 0, 20.0)]);
+    let (earlier, key) = (PacketId(900), OrderKey(5));
+    world.give(Event::Owed { id: earlier, profile: ProfileId(0), key })?;
+    let first = world.arrive(0, 0, Some(5), 300 * MS)?;
+    let second = world.arrive(0, 0, Some(5), 8_000 * MS)?;
+    world.pass(200 * MS)?;
+    assert_eq!(sends(&world, first).len(), 0);
+    world.pass(400 * MS)?;
+    assert!(world.unheard.contains(&first));
+    world.hear(earlier)?;
+    world.pass(400 * MS)?;
+    assert_eq!(sends(&world, second).len(), 0);
+    world.hear(first)?;
+    world.pass(50 * MS)?;
+    assert_eq!(sends(&world, second).len(), 1);
+    Ok(())
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -31,6 +31,7 @@
         slots: 8,
         room: 100,
         max_trips: 6,
+        ends: Ends::AtOnce,
         may_probe: true,
         may_call_off: true,
         may_say_when: true,
@@ -98,6 +99,8 @@
     pub order: Vec<PacketId>,
     pub actions: Vec<Action>,
     pub probes: Vec<TargetId>,
+    /// Ends given and not heard yet, where that counts.
+    pub unheard: BTreeSet<PacketId>,
     /// How late the connections of the next calls come up.
     pub late: Micros,
     alarms: BTreeSet<(Micros, u32)>,
@@ -120,6 +123,7 @@
             order: Vec::new(),
             actions: Vec::new(),
             probes: Vec::new(),
+            unheard: BTreeSet::new(),
             late: 0,
             alarms: BTreeSet::new(),
             listed: BTreeMap::new(),
@@ -217,6 +221,12 @@
         self.packets.iter().filter(|(_, h)| out(h)).map(|(id, _)| *id).collect()
     }
 
+    /// An end that was given is heard.
+    pub fn hear(&mut self, id: PacketId) -> Result<(), String> {
+        self.unheard.remove(&id);
+        self.give(Event::Heard { id })
+    }
+
     pub fn withdraw(&mut self, id: PacketId) -> Result<(), String> {
         self.packets.entry(id).and_modify(|h| h.over = true);
         self.give(Event::Withdrawn { id })
@@ -368,6 +378,7 @@
                 if std::mem::replace(&mut held.over, true) {
                     return Err("a second final answer".into());
                 }
+                self.unheard.extend((self.terms.ends == Ends::WhenHeard).then_some(*id));
                 match harmless || matches!(action, Action::WriteOff { .. }) {
                     true => Ok(()),
                     false => Err("deferred though it may have run".into()),
@@ -426,8 +437,9 @@
         }
         if let Some(key) = self.key(held) {
             let open = |h: &Held| !h.over || h.trips.last().is_some_and(|t| t.outcome.is_none());
-            let ahead = self.order.iter().take_while(|o| **o != id).map(|o| &self.packets[o]);
-            if ahead.filter(|h| self.key(h) == Some(key)).any(open) {
+            let ahead = self.order.iter().take_while(|o| **o != id).map(|o| (o, &self.packets[o]));
+            let mut ahead = ahead.filter(|(_, h)| self.key(h) == Some(key));
+            if ahead.any(|(o, h)| open(h) || self.unheard.contains(o)) {
                 return Err("an earlier packet of its key is not over".into());
             }
             if held.trips.is_empty() && self.rests.get(&key).is_some_and(|r| self.now < *r) {
@@ -493,6 +505,7 @@
     terms.slots = chance.random_range(1..12);
     terms.room = chance.random_range(3..60);
     terms.max_trips = chance.random_range(1..7);
+    terms.ends = if chance.random() { Ends::WhenHeard } else { Ends::AtOnce };
     terms.may_probe = chance.random();
     terms.may_call_off = chance.random();
     terms.fading = if chance.random() { Fading::Evenly } else { Fading::Halving };
@@ -550,6 +563,9 @@
                 if let Some(id) = world.packets.iter().find(|(_, h)| !h.over).map(|(id, _)| *id) {
                     world.withdraw(id)?;
                 }
+                if let Some(id) = world.unheard.first().copied() {
+                    world.hear(id)?;
+                }
             }
             98 if chance.random_bool(0.5) => {
                 // Of any forwarder, true or false, of a known destination or not, or no note at all.
