Silence of the platform is waited for once: notices go again in time, watches at once

(2) A watch that falls silent as it is opened was opened anew 7.15 s later (list.rs: 5 s, 2 s more, then AGAIN); what it misses counts as told after 7 s, with a grace of 0.5 s. AGAIN now follows answers only, not silence. (3) TCP_NODELAY also on connections to the platform.

--- a/crates/forwarder/src/list.rs
+++ b/crates/forwarder/src/list.rs
@@ -166,6 +166,7 @@
                     }
                 }
                 Err(problem) => {
+                    let silent = matches!(problem, AskFault::OutOfTime);
                     if !std::mem::replace(&mut down, true) {
                         warn!(self.log, "the list is not told"; "problem" => %problem);
                     }
@@ -175,7 +176,10 @@
                             return;
                         }
                     }
-                    tokio::time::sleep(AGAIN).await;
+                    // Guards drains against a watch that has fallen silent: it has been waited for already.
+                    if !silent {
+                        tokio::time::sleep(AGAIN).await;
+                    }
                 }
             }
         }
--- a/crates/forwarder/src/list/tests.rs
+++ b/crates/forwarder/src/list/tests.rs
@@ -1,4 +1,7 @@
 use super::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::time::Instant;
 
 fn names() -> Names {
     Names {
@@ -128,3 +131,48 @@
     let news = numbers(held.take(text(3, false, &twice), &names()));
     assert_eq!(news, [(1, Standing::Ready), (2, Standing::Gone), (4_097, Standing::Ready)]);
 }
+
+/// Guards drains against a watch that falls silent as soon as it is opened: what it misses counts as told two seconds after
+/// the wait that was asked for, and the next watch is opened by then.
+#[tokio::test(start_paused = true)]
+async fn a_watch_that_falls_silent_is_opened_anew_by_the_time_that_counts() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("its address");
+    let (seen, mut watches) = mpsc::channel(8);
+    tokio::spawn(async move {
+        let mut silent = Vec::new(); // connections that stay open
+        loop {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let mut head = vec![0; 1024];
+            loop {
+                let n = stream.read(&mut head).await.expect("a request");
+                let asked = String::from_utf8_lossy(&head[..n]).into_owned();
+                if asked.contains("index=") {
+                    let wait = asked.split("wait=").nth(1).and_then(|w| w.split(' ').next()?.parse().ok());
+                    seen.send((Instant::now(), wait.expect("a wait"))).await.expect("it is awaited");
+                    break silent.push(stream);
+                }
+                let list = r#"{"revision":1,"complete":true,"members":[]}"#;
+                let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
+                stream.write_all(answer.as_bytes()).await.expect("answered");
+            }
+        }
+    });
+    let (module, _news) = mpsc::channel(8);
+    let (_moves, discovery) = watch::channel(address);
+    let list = List {
+        platform: Platform::new(address),
+        discovery,
+        names: names(),
+        held: Held::default(),
+        must_be_asked: false,
+        module,
+        log: Logger::root(slog::Discard, slog::o!()),
+    };
+    let (_mailbox, notes) = mpsc::channel(1);
+    tokio::spawn(list.run(notes));
+    let (opened, wait) = watches.recv().await.expect("a watch");
+    let (anew, _) = watches.recv().await.expect("another");
+    let counts = Duration::from_millis(wait) + Duration::from_secs(2);
+    assert!(anew - opened < counts + Duration::from_millis(50), "{:?}", anew - opened);
+}
--- a/crates/forwarder/src/notices.rs
+++ b/crates/forwarder/src/notices.rs
@@ -11,8 +11,8 @@
 use tokio::sync::{mpsc, watch};
 
 const MOST_LINES: usize = 200; // packets in one notice: some 20 KB, under a third of a message's limit
-const PATIENCE: Duration = Duration::from_millis(1000); // for an answer: the agent is next door and answers at once
-const AGAIN: Duration = Duration::from_millis(50); // between tries: a notice may be only 300 ms late
+const PATIENCE: Duration = Duration::from_millis(150); // for an answer: the agent answers at once, and a notice may be 300 ms late
+const AGAIN: Duration = Duration::from_millis(50); // between tries, after any answer but silence
 
 pub struct Notices {
     pub platform: Platform,
@@ -71,11 +71,15 @@
                     }
                 }
                 other => {
+                    let silent = matches!(other, Err(AskFault::OutOfTime));
                     if !std::mem::replace(&mut down, true) {
                         let fault = other.map_or_else(|fault| fault, |(status, _)| AskFault::Refused(status));
                         warn!(self.log, "notices are not heard"; "problem" => %fault);
                     }
-                    tokio::time::sleep(AGAIN).await;
+                    // Guards ends against a connection that has fallen silent: it has been waited for already.
+                    if !silent {
+                        tokio::time::sleep(AGAIN).await;
+                    }
                 }
             }
         }
--- a/crates/forwarder/src/platform.rs
+++ b/crates/forwarder/src/platform.rs
@@ -74,6 +74,8 @@
                 Some(link) => link,
                 None => {
                     let stream = TcpStream::connect(address).await.map_err(AskFault::Connecting)?;
+                    // Nothing may be held back that a close would take along.
+                    stream.set_nodelay(true).map_err(AskFault::Connecting)?;
                     Link::over(stream, &Builder::new()).await.map_err(AskFault::Asking)?
                 }
             };
--- a/crates/forwarder/tests/endings.rs
+++ b/crates/forwarder/tests/endings.rs
@@ -4,10 +4,11 @@
 use opalpulley_lab::scripted::{self, *};
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::channel;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_opalpulley-forwarder");
 
@@ -84,3 +85,32 @@
     assert!(heard > DEAF, "it followed after {heard} notices, the {DEAF}th was not heard yet");
     drop(forwarder);
 }
+
+/// Guards ends against a connection to the platform that falls silent under a notice: it is told on another one before a
+/// notice is overdue.
+#[test]
+fn a_notice_on_a_connection_that_falls_silent_is_told_again_in_time() {
+    let (target, seen) = serve(|_, _| plain("503 Full"));
+    let members = vec![member(target, 7, "Ready")];
+    let (platform, asked) = serve(move |m, _| match m.first.contains("/v1/outcomes") {
+        true => None, // taken, and never answered
+        false if m.first.contains("index=") => {
+            thread::sleep(Duration::from_millis(300));
+            with_body(&list(1, false, &[]))
+        }
+        false => with_body(&list(1, true, &members)),
+    });
+    let (_dir, state) = folder();
+    let forwarder = start(&state, &config("notice", "free", 200, 3.0), platform);
+    let head = hand_in_head("short", "notice", 4).replace("20000", "300");
+    assert_eq!(forwarder.ask(&head, b"body"), 202);
+    until("its call is out", || calls(&seen, "short") >= 1);
+    let notices = || {
+        let asked = asked.lock().expect("the log");
+        asked.iter().filter(|m| m.first.contains("/v1/outcomes")).count()
+    };
+    until("its end is told", || notices() == 1);
+    let first = Instant::now();
+    until("it is told again", || notices() >= 2);
+    assert!(first.elapsed() < Duration::from_millis(300), "{:?}", first.elapsed());
+}
