--- a/crates/forwarder/tests/endings.rs
+++ b/crates/forwarder/tests/endings.rs
@@ -114,3 +114,46 @@
     until("it is told again", || notices() >= 2);
     assert!(first.elapsed() < Duration::from_millis(300), "{:?}", first.elapsed());
 }
+
+/// Guards what a restart finds taken on and untried: where no list is known for seconds it waits, past its contract time
+/// too, and is tried as soon as a list names its destination.
+#[test]
+fn what_a_restart_finds_untried_waits_for_a_list_and_is_tried() {
+    let (target, seen) = serve(|m, _| if m.headers["request-id"] == "out" { None } else { plain("200 OK") });
+    let (known, members) = (Arc::new(AtomicBool::new(true)), vec![member(target, 7, "Ready")]);
+    let listed = known.clone();
+    let (platform, asked) = serve(move |m, _| {
+        if m.first.contains("/v1/outcomes") {
+            return plain("204 No Content");
+        }
+        let (listed, watch) = (listed.load(Ordering::Relaxed), m.first.contains("index="));
+        thread::sleep(Duration::from_millis(if watch { 100 } else { 0 }));
+        match (listed, watch) {
+            (false, _) => plain("503 Down"),
+            (true, true) => with_body(&list(1, false, &[])),
+            (true, false) => with_body(&list(1, true, &members)),
+        }
+    });
+    let (_dir, state) = folder();
+    let text = config("notice", "single_shot", 200, 3.0)
+        .replace("GoalTimeUs\":2500000", "GoalTimeUs\":400000")
+        .replace("Workers\":8", "Workers\":1");
+    let mut forwarder = start(&state, &text, platform);
+    assert_eq!(forwarder.hand_in("out", "notice"), 202);
+    until("the only slot is taken", || calls(&seen, "out") == 1);
+    assert_eq!(forwarder.hand_in("untried", "notice"), 202);
+    forwarder.child.kill().expect("killed");
+    forwarder.child.wait().expect("ended");
+    known.store(false, Ordering::Relaxed);
+    let _forwarder = start(&state, &text, platform);
+    thread::sleep(Duration::from_millis(1500));
+    known.store(true, Ordering::Relaxed);
+    until("the list is told", || {
+        let asked = asked.lock().expect("the log");
+        asked.last().is_some_and(|m| m.first.contains("index="))
+    });
+    until("it is tried", || calls(&seen, "untried") == 1);
+    let asked = asked.lock().expect("the log");
+    let told = asked.iter().map(|m| String::from_utf8_lossy(&m.body).into_owned()).collect::<String>();
+    assert!(!told.contains("untried"), "{told}");
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -415,12 +415,8 @@
         }
         let held = self.held();
         self.call_off(patiences, desk);
-        // Also guards packets to a destination not listed: after their contract time they go back.
-        let over = |p: &&Packet| {
-            let nowhere = self.cards.is_empty() && p.due <= desk.now;
-            nowhere || held >= p.expires || desk.now + 2 * TICK >= p.last_send(desk.terms)
-        };
-        let by = if self.cards.is_empty() { Micros::MAX } else { held.max(desk.now + 2 * TICK) };
+        let over = |p: &&Packet| held >= p.expires || desk.now + 2 * TICK >= p.last_send(desk.terms);
+        let by = held.max(desk.now + 2 * TICK);
         let over: Vec<PacketId> =
             self.waiting(self.line.expiring_by(by)).filter(over).map(|p| p.id).collect();
         over.into_iter().for_each(|id| self.give_up(id, desk));
