--- a/crates/forwarder/src/module.rs
+++ b/crates/forwarder/src/module.rs
@@ -420,7 +420,10 @@
         self.forwarder = Forwarder::new(self.terms.clone(), self.seed.wrapping_add(self.panics));
         self.alarms.clear();
         self.later.clear();
-        self.earlier = None; // the journal has them too
+        // The journal has them too: with them taken over the process is up.
+        if self.earlier.take().is_some() {
+            self.up.store(true, Ordering::Relaxed);
+        }
         self.ids.clear();
         for (id, open) in std::mem::take(&mut self.open) {
             for (trip, target) in open.out {
--- a/crates/forwarder/src/module/tests.rs
+++ b/crates/forwarder/src/module/tests.rs
@@ -119,6 +119,16 @@
     assert_eq!(rig.module.journal.after_restart().len(), 2);
 }
 
+/// Guards the start where the core panics before a list is in: the process is up with the packets of the journal, not never.
+#[tokio::test]
+async fn a_panic_before_the_list_is_in_leaves_the_process_up() {
+    let mut rig = rig().await;
+    rig.module.up.store(false, Ordering::Relaxed);
+    rig.module.earlier = Some(Vec::new());
+    rig.module.begin_anew();
+    assert!(rig.module.up.load(Ordering::Relaxed));
+}
+
 /// Guards against work for nobody: a client that leaves before its answer withdraws the packet.
 #[tokio::test]
 async fn a_client_that_leaves_withdraws_its_packet() {
