Half a first line is no answer: its status counts once the line has ended

Now the line is kept back to its end, 512 bytes at most. Tests on real connections: half a line with the call-off, half a line then silence; both seen to fail without the mend.

--- a/crates/forwarder/src/stream.rs
+++ b/crates/forwarder/src/stream.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 
 const STATUS: usize = "HTTP/1.1 200 ".len(); // bytes of a first line that tell its status
+const MOST_LINE: usize = 512; // bytes of a first line that are kept back until it ends: any that is meant well is shorter
 const READ: usize = 2048; // bytes read at once while a first line is awaited: most answers whole
 const MOST_INTERIM: usize = 32 * 1024; // bytes of 1xx heads before an answer: over any that are meant well
 
@@ -122,20 +123,21 @@
                     return Ok(());
                 }
                 Reading::FirstLine(line) => {
-                    let (more, rest) = bytes.split_at(bytes.len().min(STATUS - line.len()));
+                    let end = bytes.iter().position(|byte| *byte == b'\n').map(|at| at + 1);
+                    let (more, rest) = bytes.split_at(end.unwrap_or(bytes.len()));
                     line.extend(more);
                     bytes = rest;
-                    if line.len() < STATUS {
+                    if end.is_none() && line.len() < MOST_LINE {
                         self.sight
                             .answer
                             .send_if_modified(|a| std::mem::replace(a, Answer::Begun) != Answer::Begun);
                         return Ok(());
                     }
-                    let status = status(line);
+                    // Guards rule 1 against half a line: whatever it begins with, only a whole one is true.
+                    let status = end.and_then(|_| status(line.get(..STATUS)?));
                     if let Some(100..=199) = status {
-                        let line_ends = u8::from(line.ends_with(b"\n"));
                         self.sight.answer.send_replace(Answer::Awaited);
-                        self.reading = Reading::Interim { line_ends };
+                        self.reading = Reading::Interim { line_ends: 1 };
                         continue;
                     }
                     let said = status.map_or(Answer::Begun, Answer::Says);
@@ -165,7 +167,7 @@
     }
 }
 
-/// The status that a first line tells, as soon as its beginning is in.
+/// The status that a first line tells, by its beginning.
 fn status(line: &[u8]) -> Option<u16> {
     let (version, rest) = line.split_at_checked("HTTP/1.".len())?;
     match rest {
@@ -195,7 +197,7 @@
         }
         loop {
             // What was kept back of a first line must fit beside what comes now.
-            let room = buf.remaining().saturating_sub(STATUS).min(READ);
+            let room = buf.remaining().saturating_sub(MOST_LINE).min(READ);
             let mut bytes = [0; READ];
             let mut come = ReadBuf::new(&mut bytes[..room.max(1)]);
             ready!(Pin::new(&mut this.stream).poll_read(cx, &mut come))?;
--- a/crates/forwarder/src/targets/tests.rs
+++ b/crates/forwarder/src/targets/tests.rs
@@ -283,6 +283,8 @@
         ("HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n".to_owned(), Outcome::Reset, false),
         ("\0\u{1}noise\r\n\r\n".to_owned(), Outcome::Reset, false),
         ("HTT".to_owned(), Outcome::Reset, false),
+        ("HTTP/1.1 200 O".to_owned(), Outcome::Reset, false),
+        (format!("HTTP/1.1 200 {}\r\n\r\n", "x".repeat(100_000)), Outcome::Reset, false),
         (format!("{early}HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"), Outcome::Delivered, true),
         (format!("{early}HTTP/1.1 503 Full\r\nContent-Length: 2\r\n\r\nno"), full, true),
     ];
@@ -469,3 +471,15 @@
     rig.mailbox.try_send(TargetNote::CallOff { id: PacketId(1), trip: 0 }).expect("room");
     assert_eq!(rig.outcome().await, (Outcome::Full { wait: Some(700_000) }, false));
 }
+
+/// Guards rule 1: half a line that comes in the moment in which a call is given up is no answer, whatever it begins with.
+#[tokio::test]
+async fn half_a_line_in_the_socket_is_no_answer() {
+    let mut rig = Rig::new().await;
+    rig.call(&Bytes::new(), 20_000).await;
+    let mut stream = rig.accept().await;
+    read_call(&mut stream).await;
+    stream.try_write(b"HTTP/1.1 200 OK\r").expect("sent");
+    rig.mailbox.try_send(TargetNote::CallOff { id: PacketId(1), trip: 0 }).expect("room");
+    assert_eq!(rig.outcome().await, (Outcome::CalledOff, false));
+}
