--- a/crates/forwarder/src/platform.rs
+++ b/crates/forwarder/src/platform.rs
@@ -75,7 +75,8 @@
                 None => {
                     let stream = TcpStream::connect(address).await.map_err(AskFault::Connecting)?;
                     // Nothing may be held back that a close would take along.
-                    stream.set_nodelay(true).map_err(AskFault::Connecting)?;
+                    // A connection that refuses the option serves all the same.
+                    let _ = stream.set_nodelay(true);
                     Link::over(stream, &Builder::new()).await.map_err(AskFault::Asking)?
                 }
             };
