--- a/crates/forwarder/src/clients.rs
+++ b/crates/forwarder/src/clients.rs
@@ -27,6 +27,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch, Notify};
 use tokio::task::{Id, JoinSet};
+use tokio::time::Instant;
 use tower::Service;
 
 const HEAD_TIME: Duration = Duration::from_millis(2100); // from connecting, or the last answer, to the end of a head
@@ -113,7 +114,10 @@
             return Err(busy("not ready yet"));
         }
         let (answer, answered) = oneshot::channel();
-        self.module.try_send(HandIn { handed, answer }).map_err(|_| busy("too many packets at once"))?;
+        let came = Instant::now();
+        self.module
+            .try_send(HandIn { handed, came, answer })
+            .map_err(|_| busy("too many packets at once"))?;
         // The actor that ends the process drops what it has not read: that was not taken on.
         let answer = answered.await.map_err(|_| busy("going down"))?;
         let mut response = Response::new(Full::default());
--- a/crates/forwarder/src/module.rs
+++ b/crates/forwarder/src/module.rs
@@ -1,7 +1,7 @@
 //! The actor of the decision module. It turns what the other actors report into the core's events, writes what
 //! must outlive the process to the journal first, and then carries out the core's actions. It decides nothing.
 
-use crate::clock::Clock;
+use crate::clock::{micros, Clock};
 use crate::journal::{Journal, Kept};
 use crate::notes::{Answer, Call, HandIn, ListNote, NeighbourNote, Note, Owed, TargetNote};
 use crate::protocol::{Ending, Handed};
@@ -73,7 +73,7 @@
     alarms: BTreeSet<(Micros, u64, Token)>, // each leaves as it rings
     later: VecDeque<Event>,          // emptied before the next note is read
     earlier: Option<Vec<Kept>>,      // packets of an earlier process, until the list is in
-    owing: BTreeMap<u64, PacketId>,  // ends that the platform has not heard of; each leaves as it has
+    owing: BTreeMap<u64, Option<PacketId>>, // ends that the platform has not heard of, with those that keep an order; each leaves as it has
     next_id: u32,
     next_alarm: u64,
     panics: u64,
@@ -194,7 +194,7 @@
                     let heard = self.owing.remove(&serial);
                     let written = self.journal.ended(serial);
                     self.written(written);
-                    heard.into_iter().for_each(|id| self.handle(Event::Heard { id }));
+                    heard.flatten().into_iter().for_each(|id| self.handle(Event::Heard { id }));
                 }
             }
         }
@@ -260,7 +260,7 @@
         }
     }
 
-    fn hand_in(&mut self, HandIn { handed, answer }: HandIn) {
+    fn hand_in(&mut self, HandIn { mut handed, came, answer }: HandIn) {
         // Guards against work for a client that has left: nothing is taken on yet.
         if answer.is_closed() {
             return;
@@ -276,7 +276,9 @@
             let _ = answer.send(Answer::Unlisted);
             return;
         }
-        let expires = self.clock.now() + handed.left;
+        // Its time runs from its last byte, not from its turn in the inbox.
+        handed.left = handed.left.saturating_sub(micros(came.elapsed()));
+        let (expires, ordered) = (self.clock.now() + handed.left, handed.key.is_some());
         let kept = kept(&handed, expires);
         // The room of the terms counts at the door, as it does before the core on the simulator's wire.
         if self.open.len() >= self.terms.room as usize || !self.journal.has_room(&kept) {
@@ -299,7 +301,7 @@
         if refused.is_some() {
             // Its end is the client's own answer: nothing is owed to the platform.
             self.finish(id, None);
-            self.later.push_back(Event::Heard { id });
+            self.later.extend(ordered.then_some(Event::Heard { id }));
         }
         if answer.send(refused.unwrap_or(Answer::Taken)).is_err() && refused.is_none() {
             debug!(self.log, "a client left before its answer");
@@ -344,14 +346,14 @@
         for kept in packets {
             let id = self.new_id();
             if let Some(ending) = kept.owed {
-                if let Some(key) = kept.key.map(OrderKey) {
+                let ordered = kept.key.map(OrderKey).map(|key| {
                     self.handle(Event::Owed { id, profile: ProfileId(kept.profile), key });
+                    id
+                });
+                // Where the process is the same it goes on being told.
+                if self.owing.insert(kept.serial, ordered).is_none() {
+                    self.tell(kept.serial, kept.request_id, ending);
                 }
-                // It goes on being told where the process is the same.
-                if !self.owing.contains_key(&kept.serial) {
-                    self.owe(id, kept.serial, kept.request_id, ending);
-                }
-                self.owing.insert(kept.serial, id);
                 continue;
             }
             let past = Past { trips: kept.trips, exposed: kept.exposed.map(|(at, zone)| (at, ZoneId(zone))) };
@@ -565,11 +567,13 @@
         let Some(open) = self.open.get_mut(&id).filter(|o| !o.ended) else { return };
         open.ended = true;
         let (serial, request_id) = (open.serial, open.handed.request_id.clone());
+        let ordered = open.handed.key.is_some();
         match ending {
             Some(ending) => {
                 let written = self.journal.owes(serial, ending);
                 self.written(written);
-                self.owe(id, serial, request_id, ending);
+                self.owing.insert(serial, ordered.then_some(id));
+                self.tell(serial, request_id, ending);
             }
             None => {
                 let written = self.journal.ended(serial);
@@ -579,8 +583,7 @@
         self.close(id);
     }
 
-    fn owe(&mut self, id: PacketId, serial: u64, request_id: String, ending: Ending) {
-        self.owing.insert(serial, id);
+    fn tell(&mut self, serial: u64, request_id: String, ending: Ending) {
         if self.notices.send(Owed { serial, request_id, ending }).is_err() {
             error!(self.log, "nobody carries notices");
         }
--- a/crates/forwarder/src/module/tests.rs
+++ b/crates/forwarder/src/module/tests.rs
@@ -59,7 +59,8 @@
 impl Rig {
     fn hand_in(&mut self, id: &str, profile: u16) -> oneshot::Receiver<Answer> {
         let (answer, answered) = oneshot::channel();
-        self.module.hand_in(HandIn { handed: handed(id, profile), answer });
+        let came = tokio::time::Instant::now();
+        self.module.hand_in(HandIn { handed: handed(id, profile), came, answer });
         answered
     }
 
@@ -136,7 +137,7 @@
     drop(rig.hand_in("early", 1)); // the answer was in before it left: taken on
     let (answer, answered) = oneshot::channel();
     drop(answered);
-    rig.module.hand_in(HandIn { handed: handed("late", 1), answer });
+    rig.module.hand_in(HandIn { handed: handed("late", 1), came: tokio::time::Instant::now(), answer });
     assert_eq!(rig.module.open.values().map(|o| o.handed.request_id.as_str()).collect::<Vec<_>>(), ["early"]);
     assert_eq!(rig.module.journal.after_restart().len(), 1);
 }
@@ -179,3 +180,15 @@
     assert_eq!((arrival.tenant, arrival.left), (TenantId(1), 5));
     assert_eq!(super::kept(&tenant, 7).tenant, Some(1));
 }
+
+/// Guards rule 1 where the inbox is long: a packet's time runs from its last byte, and an answer after it delivers nothing.
+#[tokio::test]
+async fn a_packets_time_runs_from_its_last_byte() {
+    let mut rig = rig().await;
+    let waited = Duration::from_millis(150);
+    let (answer, _answered) = oneshot::channel();
+    let came = tokio::time::Instant::now() - waited;
+    rig.module.hand_in(HandIn { handed: handed("queued", 1), came, answer });
+    let left = rig.module.open.values().map(|o| o.expires - rig.module.clock.now()).collect::<Vec<_>>();
+    assert!(left.len() == 1 && left[0] <= 20_000_000 - micros(waited), "{left:?}");
+}
--- a/crates/forwarder/src/notes.rs
+++ b/crates/forwarder/src/notes.rs
@@ -6,6 +6,7 @@
 use opalpulley::{Event, Micros, PacketId};
 use std::time::Duration;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 /// What the client hears of a packet that it hands in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,6 +27,8 @@
 /// A packet at the door, and where its answer goes.
 pub struct HandIn {
     pub handed: Handed,
+    /// When its last byte was read.
+    pub came: Instant,
     pub answer: oneshot::Sender<Answer>,
 }
 
