Laboratory: one world of a process at a time chooses its ports

Two worlds of one process may choose the same port before either keeps it (wire.rs, Port::hold: choose lets go before keep binds, and what is kept may be shared), so the second listens in vain. Choosing and keeping are now one step for the process. No test forces it: the kernel gives the same port twice by chance only.

--- a/crates/lab/src/sockets/wire.rs
+++ b/crates/lab/src/sockets/wire.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Mutex, PoisonError};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -131,6 +132,8 @@
     }
 }
 
+static CHOOSING: Mutex<()> = Mutex::new(()); // held by whoever chooses a port, until it is kept
+
 /// A port of loopback that is kept while nobody listens there: another world on this machine must not get it meanwhile,
 /// nor what is sent to it.
 pub struct Port {
@@ -141,6 +144,8 @@
 impl Port {
     /// A free one; `port` where it is named.
     pub fn hold(port: u16) -> io::Result<Port> {
+        // Guards against two worlds of one process that choose the same port before either keeps it: both could share it.
+        let _one = CHOOSING.lock().unwrap_or_else(PoisonError::into_inner);
         let mut tries = 0;
         loop {
             // Between choosing and keeping, somebody else may have got it: then another will do.
