A platform that answers notices late is heard: patience grows with each silence

Patience now doubles with each silence, up to the second that it was before, and starts anew with an answer. Test on the real program, an agent that takes 450 ms: without it the next packet of the key never goes (seen), with it it does. An end owed has one way (Module::owe).

--- a/crates/forwarder/src/clients/tests.rs
+++ b/crates/forwarder/src/clients/tests.rs
@@ -113,3 +113,43 @@
         assert_eq!(heard.matches("connection: close").count(), 1, "{heard}");
     }
 }
+
+/// Guards the inbox against more than it holds: whoever finds it full is told to come again at once, and the others are
+/// answered once it is read.
+#[tokio::test]
+async fn who_finds_the_inbox_full_is_told_to_come_again() {
+    let rig = Rig::new(128).await;
+    let (room, over) = (rig.hand_ins.max_capacity(), 3);
+    let come = rig.come(room + over);
+    rig.closing.send_replace(Closing::Shut); // each answer is the last on its connection
+    let Rig { clients, listener, mut hand_ins, .. } = rig;
+    let door = clients.door.clone();
+    tokio::spawn(clients.run(listener));
+    while door.module.capacity() > 0 {
+        tokio::task::yield_now().await;
+    }
+    // Those beyond it are refused before anybody reads the inbox.
+    let refused = tokio::task::spawn_blocking(move || {
+        let (mut done, mut waiting) = (0, come);
+        while done < over {
+            let (ended, open): (Vec<_>, Vec<_>) = waiting.into_iter().partition(|c| c.is_finished());
+            done += ended.len();
+            ended
+                .into_iter()
+                .for_each(|c| assert_eq!(c.join().expect("it ends"), "HTTP/1.1 503 Service Unavailable"));
+            waiting = open;
+        }
+        (done, waiting)
+    });
+    let (refused, waiting) = refused.await.expect("they end");
+    assert_eq!((refused, waiting.len()), (over, room));
+    tokio::spawn(async move {
+        while let Some(HandIn { answer, .. }) = hand_ins.recv().await {
+            let _ = answer.send(Answer::Taken);
+        }
+    });
+    let ends = tokio::task::spawn_blocking(|| {
+        waiting.into_iter().map(|c| c.join().expect("it ends")).collect::<Vec<_>>()
+    });
+    assert_eq!(ends.await.expect("they end"), vec!["HTTP/1.1 202 Accepted"; room]);
+}
--- a/crates/forwarder/src/list/tests.rs
+++ b/crates/forwarder/src/list/tests.rs
@@ -132,10 +132,18 @@
     assert_eq!(news, [(1, Standing::Ready), (2, Standing::Gone), (4_097, Standing::Ready)]);
 }
 
-/// Guards drains against a watch that falls silent as soon as it is opened: what it misses counts as told two seconds after
-/// the wait that was asked for, and the next watch is opened by then.
+/// Guards drains against a watch that falls silent as soon as it is opened, or within its answer: what it misses counts as
+/// told two seconds after the wait that was asked for, and the next watch is opened by then.
 #[tokio::test(start_paused = true)]
 async fn a_watch_that_falls_silent_is_opened_anew_by_the_time_that_counts() {
+    for answer in
+        ["", "HTTP/1.1 200 OK\r\nContent-", "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{\"revision\":2,"]
+    {
+        opened_anew(answer).await;
+    }
+}
+
+async fn opened_anew(half: &'static str) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("its address");
     let (seen, mut watches) = mpsc::channel(8);
@@ -150,6 +158,7 @@
                 if asked.contains("index=") {
                     let wait = asked.split("wait=").nth(1).and_then(|w| w.split(' ').next()?.parse().ok());
                     seen.send((Instant::now(), wait.expect("a wait"))).await.expect("it is awaited");
+                    stream.write_all(half.as_bytes()).await.expect("half an answer");
                     break silent.push(stream);
                 }
                 let list = r#"{"revision":1,"complete":true,"members":[]}"#;
@@ -174,5 +183,5 @@
     let (opened, wait) = watches.recv().await.expect("a watch");
     let (anew, _) = watches.recv().await.expect("another");
     let counts = Duration::from_millis(wait) + Duration::from_secs(2);
-    assert!(anew - opened < counts + Duration::from_millis(50), "{:?}", anew - opened);
+    assert!(anew - opened < counts + Duration::from_millis(50), "{half}: {:?}", anew - opened);
 }
--- a/crates/forwarder/src/module.rs
+++ b/crates/forwarder/src/module.rs
@@ -350,10 +350,7 @@
                     self.handle(Event::Owed { id, profile: ProfileId(kept.profile), key });
                     id
                 });
-                // Where the process is the same it goes on being told.
-                if self.owing.insert(kept.serial, ordered).is_none() {
-                    self.tell(kept.serial, kept.request_id, ending);
-                }
+                self.owe(kept.serial, kept.request_id, ending, ordered);
                 continue;
             }
             let past = Past { trips: kept.trips, exposed: kept.exposed.map(|(at, zone)| (at, ZoneId(zone))) };
@@ -572,8 +569,7 @@
             Some(ending) => {
                 let written = self.journal.owes(serial, ending);
                 self.written(written);
-                self.owing.insert(serial, ordered.then_some(id));
-                self.tell(serial, request_id, ending);
+                self.owe(serial, request_id, ending, ordered.then_some(id));
             }
             None => {
                 let written = self.journal.ended(serial);
@@ -583,8 +579,11 @@
         self.close(id);
     }
 
-    fn tell(&mut self, serial: u64, request_id: String, ending: Ending) {
-        if self.notices.send(Owed { serial, request_id, ending }).is_err() {
+    /// An end to be told; `ordered` is the packet's id where the core waits for it to be heard.
+    fn owe(&mut self, serial: u64, request_id: String, ending: Ending, ordered: Option<PacketId>) {
+        // One that is owed already goes on being told.
+        let known = self.owing.insert(serial, ordered).is_some();
+        if !known && self.notices.send(Owed { serial, request_id, ending }).is_err() {
             error!(self.log, "nobody carries notices");
         }
     }
--- a/crates/forwarder/src/notices.rs
+++ b/crates/forwarder/src/notices.rs
@@ -12,6 +12,7 @@
 
 const MOST_LINES: usize = 200; // packets in one notice: some 20 KB, under a third of a message's limit
 const PATIENCE: Duration = Duration::from_millis(150); // for an answer: the agent answers at once, and a notice may be 300 ms late
+const LONGEST: Duration = Duration::from_secs(1); // the same after silences: an agent that is slow must be heard in the end
 const AGAIN: Duration = Duration::from_millis(50); // between tries, after any answer but silence
 
 pub struct Notices {
@@ -28,6 +29,7 @@
         let mut waiting: VecDeque<Owed> = VecDeque::new();
         let mut most = MOST_LINES;
         let mut down = false;
+        let mut patience = PATIENCE;
         loop {
             if waiting.is_empty() {
                 match mailbox.recv().await {
@@ -41,7 +43,7 @@
             let lines = waiting.len().min(most);
             let text = encode_notices(waiting.iter().take(lines).map(|o| (o.request_id.as_str(), o.ending)));
             let answer = tokio::select! {
-                answer = self.platform.ask(Method::POST, OUTCOMES, text, PATIENCE) => answer,
+                answer = self.platform.ask(Method::POST, OUTCOMES, text, patience) => answer,
                 // What the old address has not answered for is told to the new one.
                 Ok(()) = self.discovery.changed() => {
                     let address = *self.discovery.borrow_and_update();
@@ -49,6 +51,9 @@
                     continue;
                 }
             };
+            // Guards ends against a connection that has fallen silent, which is left soon, and against an agent that is only slow.
+            let silent = matches!(answer, Err(AskFault::OutOfTime));
+            patience = if silent { LONGEST.min(2 * patience) } else { PATIENCE };
             match answer {
                 Ok((StatusCode::NO_CONTENT, _)) => {
                     most = MOST_LINES;
@@ -71,12 +76,10 @@
                     }
                 }
                 other => {
-                    let silent = matches!(other, Err(AskFault::OutOfTime));
                     if !std::mem::replace(&mut down, true) {
                         let fault = other.map_or_else(|fault| fault, |(status, _)| AskFault::Refused(status));
                         warn!(self.log, "notices are not heard"; "problem" => %fault);
                     }
-                    // Guards ends against a connection that has fallen silent: it has been waited for already.
                     if !silent {
                         tokio::time::sleep(AGAIN).await;
                     }
--- a/crates/forwarder/tests/endings.rs
+++ b/crates/forwarder/tests/endings.rs
@@ -157,3 +157,80 @@
     let told = asked.iter().map(|m| String::from_utf8_lossy(&m.body).into_owned()).collect::<String>();
     assert!(!told.contains("untried"), "{told}");
 }
+
+/// Guards ends against a platform that is only slow: it is waited for longer after each silence, and is heard. The next
+/// packet of a key tells that it was.
+#[test]
+fn a_platform_that_answers_notices_late_is_heard() {
+    let (target, seen) =
+        serve(|m, _| plain(if m.headers["request-id"] == "first" { "503 Full" } else { "200 OK" }));
+    let members = vec![member(target, 7, "Ready")];
+    let (platform, asked) = serve(move |m, _| {
+        let (notice, watch) = (m.first.contains("/v1/outcomes"), m.first.contains("index="));
+        thread::sleep(Duration::from_millis(if notice { 450 } else { 0 } + if watch { 300 } else { 0 }));
+        match (notice, watch) {
+            (true, _) => plain("204 No Content"),
+            (false, true) => with_body(&list(1, false, &[])),
+            (false, false) => with_body(&list(1, true, &members)),
+        }
+    });
+    let (_dir, state) = folder();
+    let text = config("notice", "guarded", 200, 3.0)
+        .replace("\"Points\":1.0", "\"Points\":1.0,\"SerialByKey\":true");
+    let forwarder = start(&state, &text, platform);
+    for (id, time) in [("first", "300"), ("second", "20000")] {
+        let head = hand_in_head(id, "notice", 4)
+            .replace("20000", time)
+            .replace("\r\n\r\n", "\r\nAffinity-Key: 000b832b68ec333d\r\n\r\n");
+        assert_eq!(forwarder.ask(&head, b"body"), 202, "{id}");
+    }
+    until("the second follows", || calls(&seen, "second") == 1);
+    let asked = asked.lock().expect("the log");
+    assert!(
+        asked.iter().filter(|m| m.first.contains("/v1/outcomes")).count() > 1,
+        "it was slow for the first wait"
+    );
+}
+
+/// Guards a restart that finds a full folder, more packets than slots: it is up in time, and each of them is tried.
+#[test]
+fn a_restart_with_a_full_journal_is_up_in_time_and_tries_all_of_it() {
+    let open = Arc::new(AtomicBool::new(false));
+    let gate = open.clone();
+    let (target, seen) = serve(move |_, _| gate.load(Ordering::Relaxed).then(|| plain("200 OK")).flatten());
+    let platform = platform(vec![member(target, 7, "Ready")], 0);
+    let (_dir, state) = folder();
+    let text = config("notice", "single_shot", 200, 3.0).replace("Workers\":8", "Workers\":1");
+    let mut forwarder = start(&state, &text, platform.address);
+    let body = vec![b'x'; 40_000];
+    let give = |id: &String| forwarder.ask(&hand_in_head(id, "notice", body.len()), &body) == 202;
+    let taken: Vec<String> = (0..200).map(|n| format!("p{n}")).take_while(give).collect();
+    assert!(taken.len() > 8 && taken.len() < 200, "the folder is full after {}", taken.len());
+    forwarder.child.kill().expect("killed");
+    forwarder.child.wait().expect("ended");
+    open.store(true, Ordering::Relaxed);
+    let _forwarder = start(&state, &text, platform.address); // within ten seconds
+    until("each is tried", || taken.iter().all(|id| calls(&seen, id) == 1));
+    // The one that was out at the kill may have run, and must not run again.
+    assert_eq!(told(&platform), ["{\"id\":\"p0\",\"status\":\"undeliverable\"}"]);
+}
+
+/// Guards an end that is asked for before the first list is in, and asked for twice.
+#[test]
+fn asked_to_end_twice_before_a_list_is_in_it_ends_in_order() {
+    let (platform, _) = serve(|_, _| None);
+    let (_dir, state) = folder();
+    let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let listen = free.local_addr().expect("its address");
+    drop(free);
+    let text = config("notice", "free", 200, 3.0);
+    let child =
+        scripted::command(PROGRAM, &state, &text, &listen.to_string(), platform).spawn().expect("it starts");
+    let mut forwarder = Forwarder { child, listen };
+    until("it listens", || forwarder.connect().is_ok());
+    let begun = Instant::now();
+    forwarder.signal("-TERM");
+    forwarder.signal("-TERM");
+    assert!(forwarder.child.wait().expect("it ends").success());
+    assert!(begun.elapsed() < Duration::from_millis(3600), "{:?}", begun.elapsed());
+}
