--- a/review/2/bad_clients.py
+++ b/review/2/bad_clients.py
@@ -23,7 +23,7 @@
     begun_at = time.monotonic()
     for client, connection in enumerate(connections):
         connection.sendall(
-            f"POST /notice HTTP/1.1\r\nHost: origin.svc\r\nRequest-Id: bad-{number}-{client}\r\nRequest-Class: notice\r\n"
+            f"POST /ride-record HTTP/1.1\r\nHost: origin.svc\r\nRequest-Id: bad-{number}-{client}\r\nRequest-Class: ride-record\r\n"
             f"Request-Timeout-Ms: 12000\r\nIdempotency-Key: bad-{number}-{client}\r\nContent-Length: {BODY_BYTES}\r\n"
             "Envelope: dest=1\r\n\r\n".encode()
         )
--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -340,7 +340,7 @@
             "cell": target.cell, "phase": phase, "size": size, "up_since_ms": up_since_ms}
 
 
-def profile(name="notice", effect="guarded", window_ms=15000, goal_ms=2500, limit_ms=12000, **more):
+def profile(name="ride-record", effect="guarded", window_ms=15000, goal_ms=2500, limit_ms=12000, **more):
     entry = {"Name": name, "Effect": effect, "GoalTimeUs": goal_ms * 1000, "HardLimitUs": limit_ms * 1000,
              "LateShare": 0.5, "Points": 1.0, "Stream": False}
     if effect == "guarded":
@@ -435,7 +435,7 @@
         if self.process:
             self.process.wait()
 
-    def submit(self, message_id, dest, time_ms, key=None, body=b"ride", path="notice", more=""):
+    def submit(self, message_id, dest, time_ms, key=None, body=b"ride", path="ride-record", more=""):
         """Hands in one message on a new connection, as a client does. Returns the status, or None without an answer
         within 400 ms."""
         head = (f"POST /{path} HTTP/1.1\r\nHost: origin.svc\r\nRequest-Id: {message_id}\r\nRequest-Class: {path}\r\n"
