Forwarder: nothing is sent by a cached list before discovery has answered

What callers saw: after a planned restart a message for one destination was delivered to an endpoint of another, which had taken the address of a removed endpoint while no process ran. Its 200 counted as the delivery; the message's own destination got nothing, and the platform no completion report.

The first call needs no round trip to the agent, so it always came first.

Change: the cached list is held apart. Clients may submit at once, but the core gets endpoints only with the first answer of discovery, a failed poll, or after 1 s, when the cached list is used with a warning. The first document after a restored list gives the complete list, so that changes alone, or none, confirm it too. Works because no attempt can be chosen without an endpoint. The same fault with polled lists is closed for that second; a core that replaces a panicked one does not get an unconfirmed list.

--- a/crates/forwarder/src/clients/submission_service.rs
+++ b/crates/forwarder/src/clients/submission_service.rs
@@ -42,7 +42,7 @@
     /// Requirements on the submissions of each delivery class, in the order of the classes.
     requirements: Vec<SubmissionRequirements>,
     /// Whether the forwarder takes submissions. Set once the messages of a previous run have been submitted again, that
-    /// is when an endpoint list is known, or 1 s after the start. Never cleared, not even at shutdown.
+    /// is when an endpoint list is known, even a cached one, or 1 s after the start. Never cleared, not even at shutdown.
     pub ready: Arc<AtomicBool>,
     /// Whether each answer is the last one on its connection. Set at shutdown and never cleared.
     close_after_answer: AtomicBool,
--- a/crates/forwarder/src/dispatcher.rs
+++ b/crates/forwarder/src/dispatcher.rs
@@ -3,8 +3,9 @@
 //! The dispatcher passes the events from the other actors to the core, and executes the core's actions in order. State
 //! that must survive the process is written to the journal before it takes effect: a message before its client
 //! is answered, an attempt before its bytes are sent. The dispatcher itself rejects submissions for which there is no
-//! capacity or whose destination is unknown, and does not count a delivery after the deadline as the completion of its
-//! message. All other decisions are made by the core.
+//! capacity or whose destination is unknown, does not count a delivery after the deadline as the completion of its
+//! message, and withholds a cached endpoint list from the core while discovery may have a newer one. All other decisions
+//! are made by the core.
 
 mod actions;
 mod attempts;
@@ -26,7 +27,9 @@
 use crate::journal::{Journal, JournalError, StoredMessage};
 use endpoint_list::ListedEndpoint;
 use endpoints::EndpointActors;
-use opalpulley::{Action, Config, DestinationId, EndpointId, Event, Forwarder, MessageId, Micros};
+use opalpulley::{
+    Action, Config, DestinationId, EndpointEntry, EndpointId, Event, Forwarder, MessageId, Micros,
+};
 use slog::{error, Logger};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::future::Future;
@@ -39,9 +42,9 @@
 use tokio::time::Instant;
 use unfinished_messages::UnfinishedMessages;
 
-/// Time after the start for which the messages of a previous run wait for an endpoint list. They are submitted to the
-/// core afterwards even if no list is known.
-const RECOVERY_LIST_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Time after the start for which the dispatcher waits for an endpoint list from discovery. Afterwards the cached list is
+/// used, and the messages of a previous run are submitted to the core even if no list is known.
+const FIRST_LIST_TIMEOUT: Duration = Duration::from_millis(1000);
 
 /// The actor that owns the decision core. It runs as one task, and the other actors reach it through its mailboxes.
 pub struct Dispatcher {
@@ -70,7 +73,10 @@
     timers: Timers,
     /// Events caused by the execution of actions, in the order in which the core gets them. Empty between two commands.
     queued_events: VecDeque<Event>,
-    /// The messages of a previous run, until an endpoint list is known or [`RECOVERY_LIST_TIMEOUT`] has passed.
+    /// The cached list, until discovery has sent a list, a poll has failed or [`FIRST_LIST_TIMEOUT`] has passed. The core
+    /// does not get its endpoints before, because their addresses may belong to other destinations by now.
+    unconfirmed_list: Option<Vec<EndpointEntry>>,
+    /// The messages of a previous run, until an endpoint list is known or [`FIRST_LIST_TIMEOUT`] has passed.
     recovered_messages: Option<Vec<StoredMessage>>,
     /// The completion reports that the platform has not acknowledged, by the serial number of the message. The value is
     /// the id of the message if it has an order key: the core then waits for the acknowledgement.
@@ -104,7 +110,8 @@
     /// The mailbox of the gossip socket.
     pub gossip: mpsc::Sender<GossipDatagram>,
     /// Whether clients may submit messages. Set once the messages of a previous run have been submitted to the core: as
-    /// soon as an endpoint list is known, 1 s after the start at the latest, or when the core is replaced after a panic.
+    /// soon as an endpoint list is known, even a cached one, 1 s after the start at the latest, or when the core is
+    /// replaced after a panic.
     /// Never cleared, not even at shutdown.
     pub ready: Arc<AtomicBool>,
 }
@@ -138,6 +145,7 @@
             listed_endpoints: BTreeMap::new(),
             timers: Timers::default(),
             queued_events: VecDeque::new(),
+            unconfirmed_list: None,
             recovered_messages: None,
             pending_reports: BTreeMap::new(),
         }
@@ -153,7 +161,7 @@
     ) {
         tokio::pin!(exit);
         let mut shutting_down = false;
-        let recovery_list_deadline = Instant::now() + RECOVERY_LIST_TIMEOUT;
+        let first_list_deadline = Instant::now() + FIRST_LIST_TIMEOUT;
         loop {
             if shutting_down && self.has_nothing_in_flight() {
                 return;
@@ -172,8 +180,8 @@
                 () = sleep_until(next_idle_check_at) => {
                     self.endpoint_actors.stop_idle(self.clock.now());
                 }
-                () = tokio::time::sleep_until(recovery_list_deadline), if self.recovered_messages.is_some() => {
-                    self.submit_recovered_messages();
+                () = tokio::time::sleep_until(first_list_deadline), if self.awaits_first_list() => {
+                    self.handle_first_list_timeout();
                 }
                 Some(submission) = submissions.recv() => self.handle_submission(submission),
             }
--- a/crates/forwarder/src/dispatcher/recovery.rs
+++ b/crates/forwarder/src/dispatcher/recovery.rs
@@ -14,11 +14,12 @@
 use std::sync::atomic::Ordering;
 
 impl Dispatcher {
-    /// Restores the messages of a previous run. They wait until an endpoint list is known, because the core could not
-    /// send them to any endpoint without one.
+    /// Restores the messages of a previous run. Without any endpoint list they wait for one, because the core could not
+    /// send them to any endpoint. With a cached list they are submitted to the core at once, which sends them as soon as a
+    /// list is in force.
     pub fn restore_previous_run(&mut self, messages: Vec<StoredMessage>) {
         self.recovered_messages = Some(messages);
-        if !self.listed_endpoints.is_empty() {
+        if self.unconfirmed_list.is_some() || !self.listed_endpoints.is_empty() {
             self.submit_recovered_messages();
         }
     }
--- a/crates/forwarder/src/dispatcher/tests.rs
+++ b/crates/forwarder/src/dispatcher/tests.rs
@@ -49,6 +49,17 @@
 
 /// Creates the same fixture with the given deduplication window, in µs.
 async fn fixture_with_dedup_window(dedup_window: Micros) -> Fixture {
+    let mut fixture = fixture_without_list(dedup_window).await;
+    let list = EndpointListUpdate::Cached(vec![fixture.entry()]);
+    fixture
+        .dispatcher
+        .handle_command(DispatcherCommand::Event(Event::EndpointListUpdated(list)));
+    fixture.dispatcher.restore_previous_run(Vec::new());
+    fixture
+}
+
+/// Creates a dispatcher that has neither a list nor the messages of a previous run.
+async fn fixture_without_list(dedup_window: Micros) -> Fixture {
     let (config, names, connections) = dispatcher_config(dedup_window);
     let listener = TcpListener::bind("127.0.0.1:0")
         .await
@@ -75,30 +86,8 @@
         gossip,
         ready: Arc::default(),
     };
-    let mut dispatcher = Dispatcher::new(config, 1, Clock::start(), journal, handles, log);
-    let port = listener
-        .local_addr()
-        .expect("the listener has an address")
-        .port();
-    let entry = EndpointEntry {
-        endpoint: EndpointId {
-            address: [127, 0, 0, 1],
-            port,
-            incarnation: 0,
-        },
-        zone: ZoneId(0),
-        up_since: 0,
-        status: EndpointStatus::Ready,
-        rate: 50.0,
-        destination: DestinationId(7),
-        kind: EndpointKindId(0),
-    };
-    dispatcher.handle_command(DispatcherCommand::Event(Event::EndpointListUpdated(
-        EndpointListUpdate::Cached(vec![entry]),
-    )));
-    dispatcher.restore_previous_run(Vec::new());
     Fixture {
-        dispatcher,
+        dispatcher: Dispatcher::new(config, 1, Clock::start(), journal, handles, log),
         pending_reports,
         commands,
         listener,
@@ -107,6 +96,24 @@
 }
 
 impl Fixture {
+    /// Returns the entry of the listener in the endpoint list.
+    fn entry(&self) -> EndpointEntry {
+        let address = self.listener.local_addr();
+        EndpointEntry {
+            endpoint: EndpointId {
+                address: [127, 0, 0, 1],
+                port: address.expect("the listener has an address").port(),
+                incarnation: 0,
+            },
+            zone: ZoneId(0),
+            up_since: 0,
+            status: EndpointStatus::Ready,
+            rate: 50.0,
+            destination: DestinationId(7),
+            kind: EndpointKindId(0),
+        }
+    }
+
     fn submit(&mut self, id: &str, class: u16) -> oneshot::Receiver<SubmissionAnswer> {
         let (answer_sender, answered) = oneshot::channel();
         let received_at = tokio::time::Instant::now();
@@ -206,6 +213,28 @@
     );
 }
 
+/// Guards against calls by a cached list that discovery has not confirmed, also by a core that replaces another. Messages
+/// are accepted meanwhile, and sent once the wait for discovery is over.
+#[tokio::test]
+async fn sends_nothing_by_an_unconfirmed_list_before_the_wait_is_over() {
+    let mut fixture = fixture_without_list(15_000_000).await;
+    let cached = vec![fixture.entry()];
+    fixture.dispatcher.restore_cached_list(cached);
+    fixture.dispatcher.restore_previous_run(Vec::new());
+    assert_eq!(
+        fixture.submit("early", 1).await,
+        Ok(SubmissionAnswer::Accepted)
+    );
+    fixture.run_for(100).await;
+    fixture.dispatcher.replace_core();
+    fixture.run_for(100).await;
+    assert_eq!(fixture.count_attempts().await, 0);
+    fixture.dispatcher.handle_first_list_timeout();
+    fixture.run_for(100).await;
+    assert_eq!(fixture.count_attempts().await, 1);
+    assert!(!fixture.dispatcher.awaits_first_list());
+}
+
 /// A message is not accepted if its client disconnects while the submission waits in the mailbox.
 #[tokio::test]
 async fn ignores_submission_whose_client_has_disconnected() {
--- a/crates/forwarder/src/endpoint_list/table.rs
+++ b/crates/forwarder/src/endpoint_list/table.rs
@@ -15,6 +15,8 @@
     /// Revision of the latest document. `None` before the first one, and after the address of the agent changed.
     pub(super) revision: Option<u64>,
     members: MemberTable,
+    /// Whether the members come from a cached list and discovery has not responded yet.
+    is_unconfirmed: bool,
     /// Incarnation that was assigned to the latest new endpoint. It wraps after 2³² new endpoints.
     last_incarnation: u32,
 }
@@ -23,8 +25,21 @@
 type PreviousMembers = BTreeMap<CompactString, Option<EndpointEntry>>;
 
 impl EndpointTable {
+    /// Applies the list that an earlier process had, and returns its entries. They may be outdated until the first document
+    /// of discovery is applied.
+    pub fn restore(&mut self, document: EndpointListDocument, names: &Names) -> Vec<EndpointEntry> {
+        self.revision = Some(document.revision);
+        self.is_unconfirmed = true;
+        self.apply_complete_list(document.members, names)
+    }
+
+    /// Returns whether the list was restored and discovery has not confirmed or changed it yet.
+    pub fn is_unconfirmed(&self) -> bool {
+        self.is_unconfirmed
+    }
+
     /// Applies a document and returns the update for the core. Returns `None` if the document is older than the known
-    /// list or changes nothing.
+    /// list or changes nothing. The first update after [`EndpointTable::restore`] is always the complete list.
     pub fn apply(
         &mut self,
         document: EndpointListDocument,
@@ -35,24 +50,35 @@
             return None;
         }
         self.revision = Some(document.revision);
+        let was_unconfirmed = std::mem::take(&mut self.is_unconfirmed);
         if document.complete {
-            Some(self.apply_complete_list(document.members, names))
+            let entries = self.apply_complete_list(document.members, names);
+            return Some(EndpointListUpdate::Complete(entries));
+        }
+        let changes = self.apply_changes(document.members, names);
+        if was_unconfirmed {
+            Some(EndpointListUpdate::Complete(self.entries()))
         } else {
-            self.apply_changes(document.members, names)
+            changes
         }
     }
 
-    fn apply_complete_list(&mut self, members: Vec<Member>, names: &Names) -> EndpointListUpdate {
+    /// Replaces all members, and returns their entries in the order of the members' ids.
+    fn apply_complete_list(&mut self, members: Vec<Member>, names: &Names) -> Vec<EndpointEntry> {
         let new_members = MemberTable::with_capacity(members.len());
         let previous = std::mem::replace(&mut self.members, new_members);
         for member in members {
             let previous_entry = previous.get_by_id(&member.id).cloned();
             self.apply_member(member, previous_entry.as_ref(), names);
         }
+        self.entries()
+    }
+
+    /// Returns the entries of all members, in the order of the members' ids.
+    fn entries(&self) -> Vec<EndpointEntry> {
         let mut rows: Vec<&MemberRow> = self.members.rows.iter().map(|(_, row)| row).collect();
         rows.sort_unstable_by(|a, b| a.id.cmp(&b.id));
-        let entries = rows.into_iter().map(|row| row.entry.clone()).collect();
-        EndpointListUpdate::Complete(entries)
+        rows.into_iter().map(|row| row.entry.clone()).collect()
     }
 
     /// Applies a document of changes. The work is proportional to the number of changes, not to the length of the list.
--- a/crates/forwarder/src/endpoint_list/table/tests.rs
+++ b/crates/forwarder/src/endpoint_list/table/tests.rs
@@ -71,6 +71,30 @@
     statuses_by(|entry| entry.endpoint.incarnation, update)
 }
 
+/// Guards against a cached list that stays in force in part: the first document of discovery, even one without changes,
+/// leads to the complete list. A document of an older revision confirms nothing.
+#[test]
+fn first_document_after_a_restored_list_leads_to_the_complete_list() {
+    let cached = || document(5, true, &[("x", 1, Phase::Ready), ("y", 2, Phase::Ready)]);
+    let unchanged = vec![(1, EndpointStatus::Ready), (2, EndpointStatus::Ready)];
+    let changed = vec![(2, EndpointStatus::Ready), (3, EndpointStatus::Ready)];
+    let changes = [("x", 1, Phase::Gone), ("z", 3, Phase::Ready)];
+    for (first_document, expected) in [
+        (document(5, false, &[]), unchanged),
+        (document(6, false, &changes), changed),
+    ] {
+        let mut table = EndpointTable::default();
+        assert_eq!(table.restore(cached(), &names()).len(), 2);
+        assert_eq!(table.apply(document(4, false, &[]), &names()), None);
+        assert!(table.is_unconfirmed());
+        let update = table.apply(first_document, &names());
+        assert!(matches!(update, Some(EndpointListUpdate::Complete(_))));
+        assert_eq!(by_port(update), expected);
+        assert!(!table.is_unconfirmed());
+        assert_eq!(table.apply(document(6, false, &[]), &names()), None);
+    }
+}
+
 #[test]
 fn applies_changes_and_ignores_those_of_older_revisions() {
     let mut table = EndpointTable::default();
--- a/crates/forwarder/src/endpoint_list/watch.rs
+++ b/crates/forwarder/src/endpoint_list/watch.rs
@@ -278,7 +278,13 @@
             info!(self.log, "discovery poll succeeded after failures; endpoint list is up to date";
                 "revision" => document.revision);
         }
-        match self.table.apply(document, &self.names) {
+        let was_unconfirmed = self.table.is_unconfirmed();
+        let update = self.table.apply(document, &self.names);
+        if was_unconfirmed && !self.table.is_unconfirmed() {
+            info!(self.log, "cached endpoint list replaced by the list from discovery";
+                "revision" => self.table.revision);
+        }
+        match update {
             Some(update) => self.send_update(update).await,
             None => Ok(()),
         }
--- a/crates/forwarder/src/endpoint_list/watch/tests.rs
+++ b/crates/forwarder/src/endpoint_list/watch/tests.rs
@@ -33,7 +33,7 @@
     let (commands, command_receiver) = mpsc::channel(4);
     let (dispatcher, _events) = mpsc::channel(4);
     let mut table = EndpointTable::default();
-    table.apply(known_list(), &names());
+    table.restore(known_list(), &names());
     let log = Logger::root(slog::Discard, slog::o!());
     let platform = PlatformClient::new(address);
     let list_watch = EndpointListWatch {
--- a/crates/forwarder/src/startup.rs
+++ b/crates/forwarder/src/startup.rs
@@ -17,7 +17,7 @@
 use crate::reload::{self, ReadConfig};
 use crate::shutdown::{self, ShutdownStage};
 use crate::startup_config::{GossipPeers, StartupConfig};
-use opalpulley::{Config, EndpointListUpdate, Event, Micros};
+use opalpulley::{Config, Micros};
 use opalpulley_config::Names;
 use slog::{error, info, Logger};
 use std::future::Future;
@@ -243,12 +243,9 @@
         dispatcher: &mut Dispatcher,
     ) -> EndpointTable {
         let mut endpoint_table = EndpointTable::default();
-        let cached_update = cached_list.and_then(|list| endpoint_table.apply(list, &self.names()));
-        if let Some(EndpointListUpdate::Complete(entries) | EndpointListUpdate::Changes(entries)) =
-            cached_update
-        {
-            let cached_list_event = Event::EndpointListUpdated(EndpointListUpdate::Cached(entries));
-            dispatcher.handle_command(DispatcherCommand::Event(cached_list_event));
+        if let Some(list) = cached_list {
+            let entries = endpoint_table.restore(list, &self.names());
+            dispatcher.restore_cached_list(entries);
         }
         endpoint_table
     }
--- a/crates/forwarder/tests/program/restarts.rs
+++ b/crates/forwarder/tests/program/restarts.rs
@@ -2,6 +2,7 @@
 
 use crate::common::*;
 use std::io::Write;
+use std::net::SocketAddr;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -254,3 +255,109 @@
         }
     }
 }
+
+/// Guards against a message that reaches an endpoint of another destination, which took the address of a removed one
+/// between two runs.
+#[test]
+fn restart_sends_nothing_by_an_outdated_cached_list() {
+    let config_text = startup_config("notice", "free", 200, 3.0);
+    assert_outdated_list_is_not_used(&config_text);
+}
+
+/// Guards against the same fault where discovery must be polled: its first response holds changes to the cached list.
+#[test]
+fn restart_sends_nothing_by_an_outdated_cached_list_before_the_first_poll() {
+    let polled = "\"MembershipMode\":\"on_request\",\"QuantumUs\"";
+    let config_text = startup_config("notice", "free", 200, 3.0).replace("\"QuantumUs\"", polled);
+    assert_outdated_list_is_not_used(&config_text);
+}
+
+/// Leaves an unfinished message in the journal, replaces its endpoint while no process runs, and starts the second run with
+/// the list that the first one had. Both that message and a new one must reach the replacement alone.
+fn assert_outdated_list_is_not_used(config_text: &str) {
+    let (reused_address, reused_log) =
+        serve(|request, _| match request.headers["request-id"].as_str() {
+            "before" => None,
+            _ => empty_response("200 OK"),
+        });
+    let (replacement, replacement_log) = endpoint_responding_with("200 OK");
+    let old_member = member_named("old", reused_address, 7, "Ready");
+    let (_dir, state) = state_folder();
+    let old_platform = start_platform(vec![old_member.clone()], 0);
+    let mut forwarder = start(&state, config_text, old_platform.address);
+    assert_eq!(forwarder.submit("before", "notice"), 202);
+    wait_until("the message is sent to the old endpoint", || {
+        count_calls(&reused_log, "before") == 1
+    });
+    kill_and_wait(&mut forwarder);
+
+    let discovery = discovery_with_changed_list([
+        member_named("taker", reused_address, 8, "Ready"),
+        member_named("replacement", replacement, 7, "Ready"),
+    ]);
+    let cached = endpoint_list(1, true, &[old_member]);
+    let config_text = with_further_keys(config_text, &format!("\"known\":{cached}"));
+    let forwarder = start(&state, &config_text, discovery);
+    assert_eq!(forwarder.submit("after", "notice"), 202);
+    let call_count = |log: &RequestLog| log.lock().expect("the request log is not poisoned").len();
+    wait_until("both messages are sent", || {
+        call_count(&reused_log) + call_count(&replacement_log) >= 3
+    });
+    assert_eq!(
+        (call_count(&reused_log), call_count(&replacement_log)),
+        (1, 2),
+        "calls at the reused address, one of them by the first run, and calls at the replacement"
+    );
+}
+
+/// Discovery does not respond after a restart: the cached list is used after one second, and clients may submit messages
+/// at once.
+#[test]
+fn restart_uses_the_cached_list_while_discovery_is_silent() {
+    let (endpoint, request_log) = endpoint_responding_with("200 OK");
+    let (silent_discovery, _) = serve(|_, _| None);
+    let (_dir, state) = state_folder();
+    let cached = endpoint_list(1, true, &[member(endpoint, 7, "Ready")]);
+    let config_text = with_further_keys(
+        &startup_config("notice", "free", 200, 3.0),
+        &format!("\"known\":{cached}"),
+    );
+    let started_at = Instant::now();
+    let forwarder = start(&state, &config_text, silent_discovery);
+    assert_eq!(forwarder.submit("first", "notice"), 202);
+    let accepted_after = started_at.elapsed();
+    assert!(
+        accepted_after < Duration::from_millis(900),
+        "expected the message to be accepted before the cached list is used, took {accepted_after:?}"
+    );
+    wait_until("the message is delivered by the cached list", || {
+        count_calls(&request_log, "first") == 1
+    });
+    let delivered_after = started_at.elapsed();
+    assert!(
+        delivered_after < Duration::from_millis(2500),
+        "expected a delivery about 1 s after the start, took {delivered_after:?}"
+    );
+}
+
+/// Starts a discovery with the list `[taker, replacement]`, which has replaced the member `old` of revision 1. It responds
+/// to each request after 300 ms, with the complete list or with the changes.
+fn discovery_with_changed_list(members: [String; 2]) -> SocketAddr {
+    let old_is_gone = members[0]
+        .replace("taker", "old")
+        .replace("\"cell\":8", "\"cell\":7")
+        .replace("Ready", "Gone");
+    let (address, _) = serve(move |request, _| {
+        sleep_ms(300);
+        let [taker, replacement] = members.clone();
+        let document = if request.first_line.contains("index=1&") {
+            endpoint_list(4, false, &[old_is_gone.clone(), taker, replacement])
+        } else if request.first_line.contains("index=4&") {
+            endpoint_list(4, false, &[])
+        } else {
+            endpoint_list(4, true, &[taker, replacement])
+        };
+        ok_response(&document)
+    });
+    address
+}
