Clients: a body's memory follows its length, not the number of its writes

What callers saw: 200 clients with half a request each, in writes of 64 bytes, took the forwarder over 192 MB within 0.6 s, and the platform killed it. The bodies together were 13 MB.

Cause: read_body collected the pieces in which hyper passes a body on, one for each read of the socket. A piece shares the buffer of its read, some KB for 64 bytes; the limit of 64 KiB counted the pieces' bytes, not what they keep.

Evidence (a scratch copy, same clients, some 700 pieces a body): pieces kept until the end: over 192 MB, killed; pieces dropped: 11 MB; pieces copied and dropped: 25 MB. Connections, read buffers and allocator are thereby excluded.

Change: body.rs reads bodies and holds no piece after it was copied or counted. Memory is reserved at the announced length, and the head is dropped before its body is read. hyper's read buffer is then reused for each read.

Bodies of endpoints and of the platform are read as before; they follow. Forwarder: 75 tests of the library and 21 of the program passed.

--- a/crates/forwarder/src/clients/submission_service.rs
+++ b/crates/forwarder/src/clients/submission_service.rs
@@ -1,14 +1,15 @@
 //! The service for the requests of clients. It passes each submission to the dispatcher and returns the dispatcher's
 //! answer.
 
+use crate::body::{discard_body, read_body, BodyError};
 use crate::commands::{SubmissionAnswer, SubmissionRequest};
 use crate::protocol::{
     decode_head, encode_retry_after, SubmissionError, SubmissionRequirements, SubmittedMessage,
     MAX_BODY_BYTES, READINESS_PATH,
 };
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::header::{HeaderValue, ALLOW, CONNECTION, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
 use opalpulley::{Config, DeliveryClassConfig, DeliverySemantics, Micros};
@@ -88,7 +89,7 @@
         let result = match (request.uri().path(), mode) {
             (READINESS_PATH, _) => self.answer_readiness(request.method()),
             (_, ConnectionMode::RejectSubmissions) => {
-                discard_body(request.into_body()).await;
+                discard_submission_body(request.into_body()).await;
                 Err(SubmissionError::AllConnectionsTaken)
             }
             (_, ConnectionMode::Serve) => self.accept_submission(request).await,
@@ -129,7 +130,9 @@
     ) -> Result<Response<Full<Bytes>>, SubmissionError> {
         let (head, body) = request.into_parts();
         let mut submitted = decode_head(&head, &self.names, &self.requirements)?;
-        submitted.body = read_body(body).await?;
+        // The head shares a read buffer of the connection, which is free again while the body is received.
+        drop(head);
+        submitted.body = read_submission_body(body).await?;
         self.check_ready()?;
         match self.submit(submitted).await? {
             SubmissionAnswer::Accepted => Ok(empty_response(StatusCode::ACCEPTED)),
@@ -175,24 +178,20 @@
 
 /// Reads a whole body. Fails if it exceeds [`MAX_BODY_BYTES`], does not arrive within [`BODY_TIMEOUT`], or the
 /// connection fails.
-async fn read_body(body: Incoming) -> Result<Bytes, SubmissionError> {
-    if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
-        return Err(SubmissionError::BodyTooLarge);
-    }
-    let whole_body = Limited::new(body, MAX_BODY_BYTES).collect();
+async fn read_submission_body(body: Incoming) -> Result<Bytes, SubmissionError> {
+    let whole_body = read_body(body, MAX_BODY_BYTES);
     match tokio::time::timeout(BODY_TIMEOUT, whole_body).await {
-        // The body is copied, because a small body would keep the whole read buffer in memory.
-        Ok(Ok(body)) => Ok(Bytes::copy_from_slice(&body.to_bytes())),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(SubmissionError::BodyTooLarge),
-        Ok(Err(error)) => Err(SubmissionError::BodyUnreadable(error)),
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLong { .. })) => Err(SubmissionError::BodyTooLarge),
+        Ok(Err(BodyError::Connection(error))) => Err(SubmissionError::BodyUnreadable(error)),
         Err(_) => Err(SubmissionError::BodyTimedOut),
     }
 }
 
 /// Reads a body that is not used. An answer that is written before the whole request is read may be lost, because the
 /// system resets a connection that is closed with unread bytes.
-async fn discard_body(body: Incoming) {
-    let whole_body = Limited::new(body, MAX_BODY_BYTES).collect();
+async fn discard_submission_body(body: Incoming) {
+    let whole_body = discard_body(body, MAX_BODY_BYTES);
     // The answer is the same whether or not the whole body arrives.
     drop(tokio::time::timeout(DISCARDED_BODY_TIMEOUT, whole_body).await);
 }
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -1,6 +1,7 @@
 //! opalpulley's forwarder on sockets: one process with one decision core and one actor for each endpoint. The crate is
 //! a library with a thin program on top, so that other programs can start a forwarder in process.
 
+mod body;
 mod clients;
 mod clock;
 mod commands;
--- a/crates/forwarder/src/protocol/submission_error.rs
+++ b/crates/forwarder/src/protocol/submission_error.rs
@@ -73,7 +73,7 @@
     /// The body is longer than [`MAX_BODY_BYTES`].
     BodyTooLarge,
     /// The connection failed before the whole body was received.
-    BodyUnreadable(Box<dyn Error + Send + Sync>),
+    BodyUnreadable(hyper::Error),
     /// The body was not received within its timeout.
     BodyTimedOut,
     /// The forwarder does not take submissions yet.
--- a/crates/forwarder/tests/program/main.rs
+++ b/crates/forwarder/tests/program/main.rs
@@ -6,5 +6,6 @@
 mod configuration;
 mod connections;
 mod endpoint_list;
+mod memory;
 mod restarts;
 mod submissions;
--- a/crates/lab/src/scripted.rs
+++ b/crates/lab/src/scripted.rs
@@ -383,21 +383,26 @@
 
     /// Returns the resident memory of the process, in kB, and the number of its open file descriptors.
     pub fn resource_usage(&self) -> (u64, usize) {
-        let process_folder = format!("/proc/{}", self.child.id());
-        let status = std::fs::read_to_string(format!("{process_folder}/status"))
-            .expect("the process status should be readable");
-        let memory = status
-            .lines()
-            .find_map(|line| line.strip_prefix("VmRSS:")?.trim().strip_suffix(" kB"));
-        let descriptors = std::fs::read_dir(format!("{process_folder}/fd"))
+        let descriptors = std::fs::read_dir(format!("/proc/{}/fd", self.child.id()))
             .expect("the file descriptors should be readable")
             .count();
-        (
-            memory
-                .and_then(|kb| kb.parse().ok())
-                .expect("the process status should hold the resident memory"),
-            descriptors,
-        )
+        (self.memory_kb("VmRSS:"), descriptors)
+    }
+
+    /// Returns the largest resident memory of the process so far, in kB.
+    pub fn peak_memory_kb(&self) -> u64 {
+        self.memory_kb("VmHWM:")
+    }
+
+    /// Returns the value of a line of the process status that is in kB.
+    fn memory_kb(&self, line_name: &str) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))
+            .expect("the process status should be readable");
+        status
+            .lines()
+            .find_map(|line| line.strip_prefix(line_name)?.trim().strip_suffix(" kB"))
+            .and_then(|kb| kb.parse().ok())
+            .expect("the process status should hold the memory")
     }
 
     /// Sends a signal to the process. `name` is an option of `kill`, as in `-HUP`.
