Endpoints: a response's body takes one read buffer, however small its writes

What would be seen: endpoints whose answers keep coming in small writes take the forwarder over memory_mb.

Cause: the same as for clients' bodies. read_body of endpoints/response_body.rs collected the pieces of a body, only to drop them at its end; each kept its read buffer.

Change: the pieces are counted and dropped (body::discard_body).

--- a/crates/forwarder/src/endpoints/response_body.rs
+++ b/crates/forwarder/src/endpoints/response_body.rs
@@ -1,7 +1,7 @@
 //! Reads the body of a response. Its bytes are dropped: only whether the body is complete matters.
 
+use crate::body::discard_body;
 use crate::protocol::MAX_BODY_BYTES;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use std::time::Duration;
 
@@ -19,9 +19,9 @@
 
 /// Reads a body to its end, up to `MAX_BODY_BYTES` and for at most `BODY_TIMEOUT`.
 pub async fn read_body(body: Incoming) -> BodyEnd {
-    let complete_body = Limited::new(body, MAX_BODY_BYTES).collect();
+    let complete_body = discard_body(body, MAX_BODY_BYTES);
     match tokio::time::timeout(BODY_TIMEOUT, complete_body).await {
-        Ok(Ok(_)) => BodyEnd::Complete,
+        Ok(Ok(())) => BodyEnd::Complete,
         Ok(Err(_)) | Err(_) => BodyEnd::Incomplete,
     }
 }
--- a/crates/forwarder/tests/program/memory.rs
+++ b/crates/forwarder/tests/program/memory.rs
@@ -2,7 +2,10 @@
 
 use crate::common::*;
 use std::io::Write;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread;
 use std::time::{Duration, Instant};
 
 /// The memory limit of the process, in MB, with the descriptors that go with it on the platform.
@@ -66,3 +69,61 @@
     assert_within_memory_limit(&forwarder);
     assert_eq!(forwarder.submit("usual", "notice"), 202);
 }
+
+/// Guards against endpoints that take a read buffer for each small write of their responses: 64 responses with the longest
+/// body are received at once.
+#[test]
+fn responses_in_small_writes_stay_within_the_memory_limit() {
+    const MESSAGES: usize = 64;
+    let (endpoint, responses_begun) = endpoint_responding_in_small_writes();
+    let listed = member(endpoint, 7, "Ready").replace("\"size\":50.0", "\"size\":10000.0");
+    let platform = start_platform(vec![listed], 0);
+    let (_dir, state) = state_folder();
+    let config_text =
+        config_with_memory_limit().replace("\"Workers\":8", &format!("\"Workers\":{MESSAGES}"));
+    let forwarder = start(&state, &config_text, platform.address);
+    for number in 0..MESSAGES {
+        assert_eq!(forwarder.submit(&format!("m{number}"), "notice"), 202);
+    }
+    wait_until("all responses have begun", || {
+        responses_begun.load(Ordering::Relaxed) == MESSAGES
+    });
+    // The forwarder reads a body for 0.5 s at most.
+    sleep_ms(500);
+    assert_within_memory_limit(&forwarder);
+}
+
+/// Starts an endpoint whose responses say that a message is delivered, and have a long body in small writes. Returns its
+/// address and the number of responses that it has begun.
+fn endpoint_responding_in_small_writes() -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener
+        .local_addr()
+        .expect("the socket has a local address");
+    let responses_begun: Arc<AtomicUsize> = Arc::default();
+    let begun = responses_begun.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let stream = stream.expect("the connection is accepted");
+            let begun = begun.clone();
+            thread::spawn(move || respond_in_small_writes(stream, &begun));
+        }
+    });
+    (address, responses_begun)
+}
+
+/// Writes one response, until the forwarder closes the connection.
+fn respond_in_small_writes(mut stream: TcpStream, responses_begun: &AtomicUsize) {
+    const WRITE_INTERVAL: Duration = Duration::from_micros(300);
+    if read_http_message(&mut stream).is_none() {
+        return;
+    }
+    stream.set_nodelay(true).expect("the option is set");
+    responses_begun.fetch_add(1, Ordering::Relaxed);
+    let mut piece =
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {MAX_BODY_BYTES}\r\n\r\n").into_bytes();
+    while stream.write_all(&piece).is_ok() {
+        piece = vec![b'y'; WRITE_BYTES];
+        thread::sleep(WRITE_INTERVAL);
+    }
+}
