Platform: the endpoint list is read without keeping a read buffer a write

What would be seen: an agent that writes its list in small pieces takes the forwarder over memory_mb: 512 KiB in writes of 64 bytes made 37 MB.

Cause: as for clients and endpoints, exchange in platform.rs collected the pieces of the body, each with its read buffer.

Change: body::read_body. A list with an announced length is also no longer copied as a whole when it is complete.

--- a/crates/forwarder/src/platform.rs
+++ b/crates/forwarder/src/platform.rs
@@ -1,8 +1,9 @@
 //! The HTTP client of the platform's agent on this machine. It reconnects after each failure.
 
+use crate::body::{read_body, BodyError};
 use crate::http_connection::HttpConnection;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::client::conn::http1::Builder;
 use hyper::{Method, Request, StatusCode};
 use std::fmt;
@@ -22,7 +23,7 @@
     /// The request could not be sent, or the connection ended before the head of the response.
     Send(hyper::Error),
     /// The body of the response was cut off or was longer than the limit.
-    ReadBody(Box<dyn std::error::Error + Send + Sync>),
+    ReadBody(BodyError),
     /// The response was not complete within the timeout.
     Timeout,
     /// The response has another status than the caller expects.
@@ -167,10 +168,8 @@
         .await
         .map_err(PlatformError::Send)?;
     let status = response.status();
-    let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
-        .collect()
+    let body = read_body(response.into_body(), MAX_RESPONSE_BYTES)
         .await
-        .map_err(PlatformError::ReadBody)?
-        .to_bytes();
+        .map_err(PlatformError::ReadBody)?;
     Ok(PlatformResponse { status, body })
 }
--- a/crates/forwarder/tests/program/memory.rs
+++ b/crates/forwarder/tests/program/memory.rs
@@ -8,27 +8,42 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// The memory limit of the process, in MB, with the descriptors that go with it on the platform.
-const MEMORY_MB: u64 = 64;
-const DESCRIPTORS: usize = 672;
+/// Limits of the platform on a process.
+struct Limits {
+    memory_mb: u64,
+    descriptors: usize,
+}
+
+const SMALL_LIMITS: Limits = Limits {
+    memory_mb: 32,
+    descriptors: 256,
+};
+const MIDDLE_LIMITS: Limits = Limits {
+    memory_mb: 64,
+    descriptors: 672,
+};
 /// Bytes of each small write.
 const WRITE_BYTES: usize = 64;
 /// The longest body that the protocol allows, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024;
 
-/// Returns a start-up configuration with the limits of these tests.
-fn config_with_memory_limit() -> String {
-    let memory_limit = format!("\"memory_mb\":{MEMORY_MB}");
-    startup_config("notice", "free", DESCRIPTORS, 3.0).replace("\"memory_mb\":192", &memory_limit)
-}
+impl Limits {
+    /// Returns a start-up configuration with these limits.
+    fn startup_config(&self) -> String {
+        let memory_limit = format!("\"memory_mb\":{}", self.memory_mb);
+        startup_config("notice", "free", self.descriptors, 3.0)
+            .replace("\"memory_mb\":192", &memory_limit)
+    }
 
-/// Asserts that the process has not exceeded its memory limit so far.
-fn assert_within_memory_limit(forwarder: &Forwarder) {
-    let peak_kb = forwarder.peak_memory_kb();
-    assert!(
-        peak_kb <= MEMORY_MB * 1024,
-        "expected at most {MEMORY_MB} MB of resident memory, got {peak_kb} kB"
-    );
+    /// Asserts that the process has not exceeded the memory limit so far.
+    fn assert_kept_by(&self, forwarder: &Forwarder) {
+        let peak_kb = forwarder.peak_memory_kb();
+        assert!(
+            peak_kb <= self.memory_mb * 1024,
+            "expected at most {} MB of resident memory, got {peak_kb} kB",
+            self.memory_mb
+        );
+    }
 }
 
 /// Guards against clients that take a read buffer for each small write of their requests: 200 of them send the longest
@@ -41,7 +56,7 @@
     let (endpoint, _) = endpoint_responding_with("200 OK");
     let platform = start_platform(vec![member(endpoint, 7, "Ready")], 0);
     let (_dir, state) = state_folder();
-    let forwarder = start(&state, &config_with_memory_limit(), platform.address);
+    let forwarder = start(&state, &MIDDLE_LIMITS.startup_config(), platform.address);
     let mut clients: Vec<TcpStream> = (0..CLIENTS)
         .map(|_| {
             let stream = forwarder.connect().expect("the connection is established");
@@ -66,7 +81,7 @@
         sent += WRITE_BYTES;
     }
     sleep_ms(50);
-    assert_within_memory_limit(&forwarder);
+    MIDDLE_LIMITS.assert_kept_by(&forwarder);
     assert_eq!(forwarder.submit("usual", "notice"), 202);
 }
 
@@ -79,8 +94,9 @@
     let listed = member(endpoint, 7, "Ready").replace("\"size\":50.0", "\"size\":10000.0");
     let platform = start_platform(vec![listed], 0);
     let (_dir, state) = state_folder();
-    let config_text =
-        config_with_memory_limit().replace("\"Workers\":8", &format!("\"Workers\":{MESSAGES}"));
+    let config_text = MIDDLE_LIMITS
+        .startup_config()
+        .replace("\"Workers\":8", &format!("\"Workers\":{MESSAGES}"));
     let forwarder = start(&state, &config_text, platform.address);
     for number in 0..MESSAGES {
         assert_eq!(forwarder.submit(&format!("m{number}"), "notice"), 202);
@@ -90,7 +106,51 @@
     });
     // The forwarder reads a body for 0.5 s at most.
     sleep_ms(500);
-    assert_within_memory_limit(&forwarder);
+    MIDDLE_LIMITS.assert_kept_by(&forwarder);
+}
+
+/// Guards against a platform that takes a read buffer for each small write of its endpoint list. The list is indented so
+/// far that it has thousands of writes.
+#[test]
+fn endpoint_list_in_small_writes_stays_within_the_memory_limit() {
+    const INDENTATION_BYTES: usize = 512 * 1024;
+    let (endpoint, request_log) = endpoint_responding_with("200 OK");
+    let list = endpoint_list(1, true, &[member(endpoint, 7, "Ready")]);
+    let list = " ".repeat(INDENTATION_BYTES) + &list;
+    let platform = platform_responding_in_small_writes(list);
+    let (_dir, state) = state_folder();
+    let forwarder = start(&state, &SMALL_LIMITS.startup_config(), platform);
+    wait_until("the message is accepted", || {
+        forwarder.submit("usual", "notice") == 202
+    });
+    wait_until("the message is delivered", || {
+        count_calls(&request_log, "usual") == 1
+    });
+    SMALL_LIMITS.assert_kept_by(&forwarder);
+}
+
+/// Starts a platform that responds to the first request on each connection with `list`, and then falls silent.
+fn platform_responding_in_small_writes(list: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener
+        .local_addr()
+        .expect("the socket has a local address");
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("the connection is accepted");
+            let response = ok_response(&list).expect("the response has a text");
+            thread::spawn(move || {
+                read_http_message(&mut stream)?;
+                stream.set_nodelay(true).ok()?;
+                for piece in response.as_bytes().chunks(WRITE_BYTES) {
+                    stream.write_all(piece).ok()?;
+                    wait_between_writes();
+                }
+                read_http_message(&mut stream)
+            });
+        }
+    });
+    address
 }
 
 /// Starts an endpoint whose responses say that a message is delivered, and have a long body in small writes. Returns its
@@ -112,6 +172,14 @@
     (address, responses_begun)
 }
 
+/// Waits for so long that the forwarder reads each small write by itself.
+fn wait_between_writes() {
+    let started_at = Instant::now();
+    while started_at.elapsed() < Duration::from_micros(60) {
+        std::hint::spin_loop();
+    }
+}
+
 /// Writes one response, until the forwarder closes the connection.
 fn respond_in_small_writes(mut stream: TcpStream, responses_begun: &AtomicUsize) {
     const WRITE_INTERVAL: Duration = Duration::from_micros(300);
