Policy: a large polled fleet uses its cached list at once

Change: src/policy/cached_list.rs decides. The list is withheld where discovery is asked within the second: pushed lists, and polled fleets of up to 20 forwarders, whose first watch now asks for an answer at once, so that an unchanged list costs no wait.

--- a/crates/forwarder/src/dispatcher.rs
+++ b/crates/forwarder/src/dispatcher.rs
@@ -3,9 +3,8 @@
 //! The dispatcher passes the events from the other actors to the core, and executes the core's actions in order. State
 //! that must survive the process is written to the journal before it takes effect: a message before its client
 //! is answered, an attempt before its bytes are sent. The dispatcher itself rejects submissions for which there is no
-//! capacity or whose destination is unknown, does not count a delivery after the deadline as the completion of its
-//! message, and withholds a cached endpoint list from the core while discovery may have a newer one. All other decisions
-//! are made by the core.
+//! capacity or whose destination is unknown, and does not count a delivery after the deadline as the completion of its
+//! message. All other decisions are made by the core and its policies.
 
 mod actions;
 mod attempts;
@@ -27,6 +26,7 @@
 use crate::journal::{Journal, JournalError, StoredMessage};
 use endpoint_list::ListedEndpoint;
 use endpoints::EndpointActors;
+use opalpulley::cached_list::CONFIRMATION_TIMEOUT;
 use opalpulley::{
     Action, Config, DestinationId, EndpointEntry, EndpointId, Event, Forwarder, MessageId, Micros,
 };
@@ -44,7 +44,7 @@
 
 /// Time after the start for which the dispatcher waits for an endpoint list from discovery. Afterwards the cached list is
 /// used, and the messages of a previous run are submitted to the core even if no list is known.
-const FIRST_LIST_TIMEOUT: Duration = Duration::from_millis(1000);
+const FIRST_LIST_TIMEOUT: Duration = Duration::from_micros(CONFIRMATION_TIMEOUT);
 
 /// The actor that owns the decision core. It runs as one task, and the other actors reach it through its mailboxes.
 pub struct Dispatcher {
@@ -73,8 +73,8 @@
     timers: Timers,
     /// Events caused by the execution of actions, in the order in which the core gets them. Empty between two commands.
     queued_events: VecDeque<Event>,
-    /// The cached list, until discovery has sent a list, a poll has failed or [`FIRST_LIST_TIMEOUT`] has passed. The core
-    /// does not get its endpoints before, because their addresses may belong to other destinations by now.
+    /// A cached list that is withheld from the core until discovery has sent a list, a poll has failed or
+    /// [`FIRST_LIST_TIMEOUT`] has passed.
     unconfirmed_list: Option<Vec<EndpointEntry>>,
     /// The messages of a previous run, until an endpoint list is known or [`FIRST_LIST_TIMEOUT`] has passed.
     recovered_messages: Option<Vec<StoredMessage>>,
--- a/crates/forwarder/src/dispatcher/endpoint_list.rs
+++ b/crates/forwarder/src/dispatcher/endpoint_list.rs
@@ -50,9 +50,9 @@
 }
 
 impl Dispatcher {
-    /// Holds the list of an earlier process until discovery has responded. Clients may submit messages to its
-    /// destinations meanwhile, but nothing is sent to its endpoints.
-    pub fn restore_cached_list(&mut self, entries: Vec<EndpointEntry>) {
+    /// Withholds the list of an earlier process from the core until discovery has responded. Clients may submit messages to
+    /// its destinations meanwhile, but nothing is sent to its endpoints.
+    pub fn withhold_cached_list(&mut self, entries: Vec<EndpointEntry>) {
         // The core schedules its first poll on its first event.
         let empty_list = EndpointListUpdate::Cached(Vec::new());
         self.handle_event(Event::EndpointListUpdated(empty_list));
--- a/crates/forwarder/src/dispatcher/tests.rs
+++ b/crates/forwarder/src/dispatcher/tests.rs
@@ -219,7 +219,7 @@
 async fn sends_nothing_by_an_unconfirmed_list_before_the_wait_is_over() {
     let mut fixture = fixture_without_list(15_000_000).await;
     let cached = vec![fixture.entry()];
-    fixture.dispatcher.restore_cached_list(cached);
+    fixture.dispatcher.withhold_cached_list(cached);
     fixture.dispatcher.restore_previous_run(Vec::new());
     assert_eq!(
         fixture.submit("early", 1).await,
--- a/crates/forwarder/src/endpoint_list/table.rs
+++ b/crates/forwarder/src/endpoint_list/table.rs
@@ -15,7 +15,7 @@
     /// Revision of the latest document. `None` before the first one, and after the address of the agent changed.
     pub(super) revision: Option<u64>,
     members: MemberTable,
-    /// Whether the members come from a cached list and discovery has not responded yet.
+    /// Whether the members come from a cached list that discovery has not confirmed yet.
     is_unconfirmed: bool,
     /// Incarnation that was assigned to the latest new endpoint. It wraps after 2³² new endpoints.
     last_incarnation: u32,
@@ -25,21 +25,25 @@
 type PreviousMembers = BTreeMap<CompactString, Option<EndpointEntry>>;
 
 impl EndpointTable {
-    /// Applies the list that an earlier process had, and returns its entries. They may be outdated until the first document
-    /// of discovery is applied.
+    /// Applies the list that an earlier process had, and returns its entries.
     pub fn restore(&mut self, document: EndpointListDocument, names: &Names) -> Vec<EndpointEntry> {
         self.revision = Some(document.revision);
-        self.is_unconfirmed = true;
         self.apply_complete_list(document.members, names)
     }
 
-    /// Returns whether the list was restored and discovery has not confirmed or changed it yet.
+    /// Marks the restored list as unconfirmed: the core does not have it, so that the update for the next document is the
+    /// complete list.
+    pub fn expect_confirmation(&mut self) {
+        self.is_unconfirmed = true;
+    }
+
+    /// Returns whether the restored list waits for a document of discovery.
     pub fn is_unconfirmed(&self) -> bool {
         self.is_unconfirmed
     }
 
     /// Applies a document and returns the update for the core. Returns `None` if the document is older than the known
-    /// list or changes nothing. The first update after [`EndpointTable::restore`] is always the complete list.
+    /// list or changes nothing. The update that confirms a list is always the complete list.
     pub fn apply(
         &mut self,
         document: EndpointListDocument,
--- a/crates/forwarder/src/endpoint_list/table/tests.rs
+++ b/crates/forwarder/src/endpoint_list/table/tests.rs
@@ -74,7 +74,7 @@
 /// Guards against a cached list that stays in force in part: the first document of discovery, even one without changes,
 /// leads to the complete list. A document of an older revision confirms nothing.
 #[test]
-fn first_document_after_a_restored_list_leads_to_the_complete_list() {
+fn first_document_after_an_unconfirmed_list_leads_to_the_complete_list() {
     let cached = || document(5, true, &[("x", 1, Phase::Ready), ("y", 2, Phase::Ready)]);
     let unchanged = vec![(1, EndpointStatus::Ready), (2, EndpointStatus::Ready)];
     let changed = vec![(2, EndpointStatus::Ready), (3, EndpointStatus::Ready)];
@@ -85,6 +85,7 @@
     ] {
         let mut table = EndpointTable::default();
         assert_eq!(table.restore(cached(), &names()).len(), 2);
+        table.expect_confirmation();
         assert_eq!(table.apply(document(4, false, &[]), &names()), None);
         assert!(table.is_unconfirmed());
         let update = table.apply(first_document, &names());
--- a/crates/forwarder/src/endpoint_list/watch.rs
+++ b/crates/forwarder/src/endpoint_list/watch.rs
@@ -73,6 +73,9 @@
     watch_wanted: bool,
     /// Whether to fetch the complete list.
     fetch_wanted: bool,
+    /// Whether the next watch is the first one. Where the list must be confirmed, it is answered at once, because an
+    /// answer without changes confirms the list as well.
+    is_first_watch: bool,
     /// Whether the latest poll succeeded. Only a change of this state is logged.
     reachability: Reachability,
     /// The latest poll that timed out, which continues in the background. It is dropped once a later poll succeeds, or
@@ -143,6 +146,7 @@
         let mut state = WatchState {
             watch_wanted: !self.must_be_polled,
             fetch_wanted,
+            is_first_watch: true,
             reachability: Reachability::Reachable,
             late_poll: None,
         };
@@ -223,7 +227,7 @@
         }
     }
 
-    fn next_request(&self, state: &WatchState) -> PollRequest {
+    fn next_request(&self, state: &mut WatchState) -> PollRequest {
         // Where discovery must be polled, a fetch may take as long as a watch, because giving it up would waste its
         // cost.
         let (max_wait, response_timeout, fetch_timeout) = if self.must_be_polled {
@@ -237,10 +241,19 @@
             (MAX_WATCH_WAIT, RESPONSE_TIMEOUT, RESPONSE_TIMEOUT)
         };
         match self.table.revision {
-            Some(revision) if !state.fetch_wanted => PollRequest {
-                watch: Some((revision, max_wait)),
-                timeout: max_wait + response_timeout,
-            },
+            Some(revision) if !state.fetch_wanted => {
+                let is_first = std::mem::replace(&mut state.is_first_watch, false);
+                let confirms_list = is_first && self.table.is_unconfirmed();
+                let wait = if confirms_list {
+                    Duration::ZERO
+                } else {
+                    max_wait
+                };
+                PollRequest {
+                    watch: Some((revision, wait)),
+                    timeout: wait + response_timeout,
+                }
+            }
             _ => PollRequest {
                 watch: None,
                 timeout: fetch_timeout,
--- a/crates/forwarder/src/endpoint_list/watch/tests.rs
+++ b/crates/forwarder/src/endpoint_list/watch/tests.rs
@@ -53,12 +53,8 @@
         .await
         .expect("the actor is running");
     let (mut stream, _) = agent.accept().await.expect("the actor polls");
-    let mut head = vec![0; 4096];
-    let read = stream
-        .read(&mut head)
-        .await
-        .expect("the request is readable");
-    assert!(String::from_utf8_lossy(&head[..read]).starts_with("GET /discovery/hosts?index=7&"));
+    let request = read_request_head(&mut stream).await;
+    assert!(request.starts_with("GET /discovery/hosts?index=7&"));
     // The same command is sent again while the poll is in flight: the poll continues.
     commands
         .send(EndpointListCommand::StartWatch)
@@ -71,13 +67,75 @@
         "expected no second poll"
     );
     let further_read =
-        tokio::time::timeout(Duration::from_millis(50), stream.read(&mut head)).await;
+        tokio::time::timeout(Duration::from_millis(50), read_request_head(&mut stream)).await;
     assert!(
         further_read.is_err(),
         "expected the poll to stay in flight unchanged"
     );
 }
 
+/// Guards against a small polled fleet that stops deliveries after each restart although its list has not changed: the
+/// first watch is answered at once, and confirms the cached list without changes. Later watches wait for changes.
+#[tokio::test]
+async fn unchanged_polled_list_is_confirmed_by_the_first_watch() {
+    let agent = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("the listener is bound");
+    let address = agent.local_addr().expect("the listener has an address");
+    let (_address_sender, agent_address) = watch::channel(address);
+    let (commands, command_receiver) = mpsc::channel(4);
+    let (dispatcher, mut events) = mpsc::channel(4);
+    let mut table = EndpointTable::default();
+    let entries = table.restore(known_list(), &names());
+    table.expect_confirmation();
+    let list_watch = EndpointListWatch {
+        platform: PlatformClient::new(address),
+        agent_address,
+        names: names(),
+        table,
+        must_be_polled: true,
+        dispatcher,
+        log: Logger::root(slog::Discard, slog::o!()),
+    };
+    tokio::spawn(list_watch.run(command_receiver));
+    commands
+        .send(EndpointListCommand::StartWatch)
+        .await
+        .expect("the actor is running");
+    let (mut stream, _) = agent.accept().await.expect("the actor polls");
+    let first_request = read_request_head(&mut stream).await;
+    assert!(first_request.contains("index=7&wait=0 "), "{first_request}");
+    let unchanged = r#"{"revision":7,"complete":false,"members":[]}"#;
+    let response = format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{unchanged}",
+        unchanged.len()
+    );
+    stream
+        .write_all(response.as_bytes())
+        .await
+        .expect("the response is written");
+    let Some(DispatcherCommand::Event(event)) = events.recv().await else {
+        panic!("expected an update of the list")
+    };
+    let confirmed = Event::EndpointListUpdated(EndpointListUpdate::Complete(entries));
+    assert_eq!(event, confirmed);
+    let second_request = read_request_head(&mut stream).await;
+    assert!(
+        second_request.contains("index=7&wait=2000 "),
+        "{second_request}"
+    );
+}
+
+/// Reads what the actor has sent, which is one request without a body.
+async fn read_request_head(stream: &mut tokio::net::TcpStream) -> String {
+    let mut head = vec![0; 4096];
+    let read = stream
+        .read(&mut head)
+        .await
+        .expect("the request is readable");
+    String::from_utf8_lossy(&head[..read]).into_owned()
+}
+
 /// The agent may stop sending right after a watch was opened, or within the response to it. Two seconds after the requested
 /// wait, the forwarder counts as notified of a change even if the watch did not deliver it. The next watch must be open by
 /// then.
--- a/crates/forwarder/src/startup.rs
+++ b/crates/forwarder/src/startup.rs
@@ -17,7 +17,8 @@
 use crate::reload::{self, ReadConfig};
 use crate::shutdown::{self, ShutdownStage};
 use crate::startup_config::{GossipPeers, StartupConfig};
-use opalpulley::{Config, Micros};
+use opalpulley::cached_list::must_be_confirmed;
+use opalpulley::{Config, EndpointListUpdate, Event, Micros};
 use opalpulley_config::Names;
 use slog::{error, info, Logger};
 use std::future::Future;
@@ -236,8 +237,8 @@
         shutdown::run(terminate, stage, self.dispatcher.clone(), self.log.clone()).await;
     }
 
-    /// Passes the endpoint list of the startup configuration to the dispatcher, if there is one. Returns the table of
-    /// its endpoints.
+    /// Passes the endpoint list of the startup configuration to the dispatcher, if there is one, either for use at once or
+    /// to withhold it until discovery has responded. Returns the table of its endpoints.
     fn restore_cached_list(
         &self,
         cached_list: Option<EndpointListDocument>,
@@ -246,7 +247,13 @@
         let mut endpoint_table = EndpointTable::default();
         if let Some(list) = cached_list {
             let entries = endpoint_table.restore(list, &self.names());
-            dispatcher.restore_cached_list(entries);
+            if must_be_confirmed(&self.config) {
+                endpoint_table.expect_confirmation();
+                dispatcher.withhold_cached_list(entries);
+            } else {
+                let cached_list = Event::EndpointListUpdated(EndpointListUpdate::Cached(entries));
+                dispatcher.handle_command(DispatcherCommand::Event(cached_list));
+            }
         }
         endpoint_table
     }
--- a/src/policy/list_polling.rs
+++ b/src/policy/list_polling.rs
@@ -171,6 +171,15 @@
     }
 }
 
+/// Returns the upper bound on the delay of the first poll after the start of the process, in µs. It
+/// is 0 if discovery pushes the list.
+pub fn max_first_poll_delay(config: &Config) -> Micros {
+    match config.list_poll_interval {
+        Some(poll_interval) => first_window(poll_interval, config).end,
+        None => 0,
+    }
+}
+
 /// Returns the window of the first poll after the start of the process.
 fn first_window(poll_interval: Micros, config: &Config) -> DelayWindow {
     let max_delay = longest_delay(0, poll_interval, config);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod admission;
 pub mod attempt_timeout;
+pub mod cached_list;
 pub mod concurrency;
 pub mod connection_reuse;
 pub mod gossip;
