--- a/crates/forwarder/src/endpoint_list/watch/tests.rs
+++ b/crates/forwarder/src/endpoint_list/watch/tests.rs
@@ -21,45 +21,88 @@
     serde_json::from_str(text).expect("the list is valid")
 }
 
-/// If discovery must be polled and a list is known, the first poll is a watch from the revision of this list. It is sent as
-/// soon as the core requests it. Repeating the command does not repeat the poll.
-#[tokio::test]
-async fn watches_known_list_from_its_revision_with_one_poll() {
+/// A running actor that polls an agent on a loopback socket.
+struct TestFixture {
+    commands: mpsc::Sender<EndpointListCommand>,
+    events: mpsc::Receiver<DispatcherCommand>,
+    /// The address of the agent. The actor needs it until it ends.
+    _agent_address: watch::Sender<SocketAddr>,
+}
+
+impl TestFixture {
+    fn start(
+        agent: SocketAddr,
+        table: EndpointTable,
+        must_be_polled: bool,
+        log: Logger,
+    ) -> TestFixture {
+        let (address_sender, agent_address) = watch::channel(agent);
+        let (commands, command_receiver) = mpsc::channel(4);
+        let (dispatcher, events) = mpsc::channel(8);
+        let list_watch = EndpointListWatch {
+            platform: PlatformClient::new(agent),
+            agent_address,
+            names: names(),
+            table,
+            must_be_polled,
+            dispatcher,
+            log,
+        };
+        tokio::spawn(list_watch.run(command_receiver));
+        TestFixture {
+            commands,
+            events,
+            _agent_address: address_sender,
+        }
+    }
+
+    async fn send(&self, command: EndpointListCommand) {
+        self.commands
+            .send(command)
+            .await
+            .expect("the actor is running");
+    }
+}
+
+fn discard_log() -> Logger {
+    Logger::root(slog::Discard, slog::o!())
+}
+
+/// Opens the listener of an agent, and returns it with its address.
+async fn bind_agent() -> (TcpListener, SocketAddr) {
     let agent = TcpListener::bind("127.0.0.1:0")
         .await
         .expect("the listener is bound");
     let address = agent.local_addr().expect("the listener has an address");
-    let (_address_sender, agent_address) = watch::channel(address);
-    let (commands, command_receiver) = mpsc::channel(4);
-    let (dispatcher, _events) = mpsc::channel(4);
+    (agent, address)
+}
+
+/// Writes a response with this body.
+async fn respond(stream: &mut tokio::net::TcpStream, body: &str) {
+    let length = body.len();
+    let response = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}");
+    stream
+        .write_all(response.as_bytes())
+        .await
+        .expect("the response is written");
+}
+
+/// If discovery must be polled and a list is known, the first poll is a watch from the revision of this list. It is sent as
+/// soon as the core requests it. Repeating the command does not repeat the poll.
+#[tokio::test]
+async fn watches_known_list_from_its_revision_with_one_poll() {
+    let (agent, address) = bind_agent().await;
     let mut table = EndpointTable::default();
     table.restore(known_list(), &names());
-    let log = Logger::root(slog::Discard, slog::o!());
-    let platform = PlatformClient::new(address);
-    let list_watch = EndpointListWatch {
-        platform,
-        agent_address,
-        names: names(),
-        table,
-        must_be_polled: true,
-        dispatcher,
-        log,
-    };
-    tokio::spawn(list_watch.run(command_receiver));
+    let fixture = TestFixture::start(address, table, true, discard_log());
     let early_poll = tokio::time::timeout(Duration::from_millis(100), agent.accept()).await;
     assert!(early_poll.is_err(), "expected no poll before the command");
-    commands
-        .send(EndpointListCommand::StartWatch)
-        .await
-        .expect("the actor is running");
+    fixture.send(EndpointListCommand::StartWatch).await;
     let (mut stream, _) = agent.accept().await.expect("the actor polls");
     let request = read_request_head(&mut stream).await;
     assert!(request.starts_with("GET /discovery/hosts?index=7&"));
     // The same command is sent again while the poll is in flight: the poll continues.
-    commands
-        .send(EndpointListCommand::StartWatch)
-        .await
-        .expect("the actor is running");
+    fixture.send(EndpointListCommand::StartWatch).await;
     assert!(
         tokio::time::timeout(Duration::from_millis(100), agent.accept())
             .await
@@ -78,43 +121,18 @@
 /// first watch is answered at once, and confirms the cached list without changes. Later watches wait for changes.
 #[tokio::test]
 async fn unchanged_polled_list_is_confirmed_by_the_first_watch() {
-    let agent = TcpListener::bind("127.0.0.1:0")
-        .await
-        .expect("the listener is bound");
-    let address = agent.local_addr().expect("the listener has an address");
-    let (_address_sender, agent_address) = watch::channel(address);
-    let (commands, command_receiver) = mpsc::channel(4);
-    let (dispatcher, mut events) = mpsc::channel(4);
+    let (agent, address) = bind_agent().await;
     let mut table = EndpointTable::default();
     let entries = table.restore(known_list(), &names());
     table.expect_confirmation();
-    let list_watch = EndpointListWatch {
-        platform: PlatformClient::new(address),
-        agent_address,
-        names: names(),
-        table,
-        must_be_polled: true,
-        dispatcher,
-        log: Logger::root(slog::Discard, slog::o!()),
-    };
-    tokio::spawn(list_watch.run(command_receiver));
-    commands
-        .send(EndpointListCommand::StartWatch)
-        .await
-        .expect("the actor is running");
+    let mut fixture = TestFixture::start(address, table, true, discard_log());
+    fixture.send(EndpointListCommand::StartWatch).await;
     let (mut stream, _) = agent.accept().await.expect("the actor polls");
     let first_request = read_request_head(&mut stream).await;
     assert!(first_request.contains("index=7&wait=0 "), "{first_request}");
     let unchanged = r#"{"revision":7,"complete":false,"members":[]}"#;
-    let response = format!(
-        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{unchanged}",
-        unchanged.len()
-    );
-    stream
-        .write_all(response.as_bytes())
-        .await
-        .expect("the response is written");
-    let Some(DispatcherCommand::Event(event)) = events.recv().await else {
+    respond(&mut stream, unchanged).await;
+    let Some(DispatcherCommand::Event(event)) = fixture.events.recv().await else {
         panic!("expected an update of the list")
     };
     let confirmed = Event::EndpointListUpdated(EndpointListUpdate::Complete(entries));
@@ -151,10 +169,7 @@
 }
 
 async fn assert_silent_watch_is_reopened(partial_response: &'static str) {
-    let listener = TcpListener::bind("127.0.0.1:0")
-        .await
-        .expect("the listener is bound");
-    let address = listener.local_addr().expect("the listener has an address");
+    let (listener, address) = bind_agent().await;
     let (watch_sender, mut watches) = mpsc::channel(8);
     tokio::spawn(async move {
         let mut open_streams = Vec::new(); // keeps the connections open
@@ -183,30 +198,11 @@
                     break open_streams.push(stream);
                 }
                 let list = r#"{"revision":1,"complete":true,"members":[]}"#;
-                let response = format!(
-                    "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}",
-                    list.len()
-                );
-                stream
-                    .write_all(response.as_bytes())
-                    .await
-                    .expect("the response is written");
+                respond(&mut stream, list).await;
             }
         }
     });
-    let (dispatcher, _events) = mpsc::channel(8);
-    let (_address_sender, agent_address) = watch::channel(address);
-    let list_watch = EndpointListWatch {
-        platform: PlatformClient::new(address),
-        agent_address,
-        names: names(),
-        table: EndpointTable::default(),
-        must_be_polled: false,
-        dispatcher,
-        log: Logger::root(slog::Discard, slog::o!()),
-    };
-    let (_command_sender, commands) = mpsc::channel(1);
-    tokio::spawn(list_watch.run(commands));
+    let _fixture = TestFixture::start(address, EndpointTable::default(), false, discard_log());
     let (opened_at, max_wait) = watches.recv().await.expect("the actor opens a watch");
     let (reopened_at, _) = watches
         .recv()
@@ -237,10 +233,7 @@
 /// Starts an agent that gives one response on each connection, whole or cut off after the given number of bytes, and then
 /// closes the connection. After the last response it accepts connections but does not respond.
 async fn start_agent(responses: Vec<(String, Option<usize>)>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0")
-        .await
-        .expect("the listener is bound");
-    let address = listener.local_addr().expect("the listener has an address");
+    let (listener, address) = bind_agent().await;
     tokio::spawn(async move {
         let mut open_streams = Vec::new(); // keeps the connections open
         for (body, cut_at) in responses {
@@ -310,26 +303,15 @@
     responses.extend([(half_list, None), (complete_list, None)]);
     let address = start_agent(responses).await;
     let line_count = std::sync::Arc::default();
-    let (dispatcher, mut events) = mpsc::channel(4);
-    let (_address_sender, agent_address) = watch::channel(address);
-    let list_watch = EndpointListWatch {
-        platform: PlatformClient::new(address),
-        agent_address,
-        names: names(),
-        table: EndpointTable::default(),
-        must_be_polled: false,
-        dispatcher,
-        log: Logger::root(LineCounter(std::sync::Arc::clone(&line_count)), slog::o!()),
-    };
-    let (_command_sender, commands) = mpsc::channel(1);
-    tokio::spawn(list_watch.run(commands));
+    let log = Logger::root(LineCounter(std::sync::Arc::clone(&line_count)), slog::o!());
+    let mut fixture = TestFixture::start(address, EndpointTable::default(), false, log);
     for expected in [
         MEMBER_COUNT,
         MEMBER_COUNT / 2,
         MEMBER_COUNT / 2,
         MEMBER_COUNT,
     ] {
-        let update = tokio::time::timeout(Duration::from_secs(20), events.recv())
+        let update = tokio::time::timeout(Duration::from_secs(20), fixture.events.recv())
             .await
             .expect("an update arrives within 20 s");
         let Some(DispatcherCommand::Event(Event::EndpointListUpdated(
--- a/crates/forwarder/tests/common/mod.rs
+++ b/crates/forwarder/tests/common/mod.rs
@@ -6,9 +6,10 @@
 use opalpulley_lab::scripted;
 pub use opalpulley_lab::scripted::*;
 use std::net::{SocketAddr, TcpListener};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::time::Duration;
+use tempfile::TempDir;
 
 /// Path of the program under test.
 pub const PROGRAM: &str = env!("CARGO_BIN_EXE_opalpulley-forwarder");
@@ -23,6 +24,28 @@
     scripted::command(PROGRAM, state, config_text, listen, discovery)
 }
 
+/// A forwarder between clients and one listed endpoint. Dropping it ends the process and deletes its state directory.
+pub struct TestSetup {
+    pub forwarder: Forwarder,
+    pub platform: Platform,
+    pub state: PathBuf,
+    _folder: TempDir,
+}
+
+/// Starts a platform that lists `endpoint` for destination 7, and a forwarder with this configuration. Waits until the
+/// forwarder is ready.
+pub fn start_with_endpoint(endpoint: SocketAddr, config_text: &str) -> TestSetup {
+    let platform = start_platform(vec![member(endpoint, 7, "Ready")], 0);
+    let (folder, state) = state_folder();
+    let forwarder = start(&state, config_text, platform.address);
+    TestSetup {
+        forwarder,
+        platform,
+        state,
+        _folder: folder,
+    }
+}
+
 /// Kills the process and waits until it has ended.
 pub fn kill_and_wait(forwarder: &mut Forwarder) {
     forwarder.child.kill().expect("the process is killed");
--- a/crates/forwarder/tests/program/connections.rs
+++ b/crates/forwarder/tests/program/connections.rs
@@ -11,13 +11,8 @@
 #[test]
 fn answers_or_closes_incomplete_requests_within_3s() {
     let (endpoint, request_log) = endpoint_responding_with("200 OK");
-    let platform = start_platform(vec![member(endpoint, 7, "Ready")], 0);
-    let (_dir, state) = state_folder();
-    let forwarder = start(
-        &state,
-        &startup_config("notice", "free", 200, 3.0),
-        platform.address,
-    );
+    let setup = start_with_endpoint(endpoint, &startup_config("notice", "free", 200, 3.0));
+    let forwarder = &setup.forwarder;
     let head = submission_head("slow", "notice", 400);
     let huge = submission_head("huge", "notice", 60_000_000);
     // What the client sends at once, what it then sends repeatedly, the interval in ms, and the expected status; 0 if the
@@ -68,13 +63,8 @@
 #[test]
 fn answers_every_request_at_the_connection_limit() {
     let (endpoint, request_log) = endpoint_responding_with("200 OK");
-    let platform = start_platform(vec![member(endpoint, 7, "Ready")], 0);
-    let (_dir, state) = state_folder();
-    let forwarder = start(
-        &state,
-        &startup_config("notice", "free", 80, 3.0),
-        platform.address,
-    );
+    let setup = start_with_endpoint(endpoint, &startup_config("notice", "free", 80, 3.0));
+    let forwarder = &setup.forwarder;
     // Connections with a partial request are not idle, so that none can be closed in favour of others.
     let mut busy: Vec<TcpStream> = (0..120)
         .map(|n| {
@@ -145,13 +135,8 @@
 #[test]
 fn closes_the_longest_idle_client_connections_first() {
     let (endpoint, _) = endpoint_responding_with("200 OK");
-    let platform = start_platform(vec![member(endpoint, 7, "Ready")], 0);
-    let (_dir, state) = state_folder();
-    let forwarder = start(
-        &state,
-        &startup_config("notice", "free", 200, 3.0),
-        platform.address,
-    );
+    let setup = start_with_endpoint(endpoint, &startup_config("notice", "free", 200, 3.0));
+    let forwarder = &setup.forwarder;
     let connect_and_submit = |n: usize| {
         let mut stream = forwarder.connect().expect("the connection is accepted");
         let head = submission_head(&format!("i{n}"), "notice", 4);
--- a/crates/forwarder/tests/program/endpoint_list.rs
+++ b/crates/forwarder/tests/program/endpoint_list.rs
@@ -56,20 +56,15 @@
             "200 OK"
         })
     });
-    let platform = start_platform(vec![member(endpoint, 7, "Ready")], 0);
-    let (_dir, state) = state_folder();
-    let forwarder = start(
-        &state,
-        &startup_config("notice", "free", 200, 3.0),
-        platform.address,
-    );
+    let setup = start_with_endpoint(endpoint, &startup_config("notice", "free", 200, 3.0));
+    let forwarder = &setup.forwarder;
     assert_eq!(forwarder.submit("old", "notice"), 202);
     wait_until("the old process rejects the message", || {
         count_calls(&request_log, "old") == 1
     });
     let new_endpoint = member(endpoint, 8, "Ready").replace("s-", "t-");
-    push_change(&platform, endpoint_list(2, false, &[new_endpoint]));
-    wait_until_changes_are_sent(&platform);
+    push_change(&setup.platform, endpoint_list(2, false, &[new_endpoint]));
+    wait_until_changes_are_sent(&setup.platform);
     sleep_ms(100);
     assert_eq!(
         forwarder.request_status(&submission_head("lost", "notice", 4), b"body"),
--- a/crates/forwarder/tests/program/memory.rs
+++ b/crates/forwarder/tests/program/memory.rs
@@ -69,9 +69,8 @@
     // The forwarder gives up a body 0.7 s after its head.
     const SENDING_TIME: Duration = Duration::from_millis(650);
     let (endpoint, _) = endpoint_responding_with("200 OK");
-    let platform = start_platform(vec![member(endpoint, 7, "Ready")], 0);
-    let (_dir, state) = state_folder();
-    let forwarder = start(&state, &limits.startup_config(), platform.address);
+    let setup = start_with_endpoint(endpoint, &limits.startup_config());
+    let forwarder = &setup.forwarder;
     let connect = |_| {
         let stream = forwarder.connect().expect("the connection is established");
         stream.set_nodelay(true).expect("the option is set");
@@ -95,7 +94,7 @@
     }
     assert_eq!(forwarder.submit("usual", "notice"), 202);
     sleep_ms(50);
-    limits.assert_kept_by(&forwarder);
+    limits.assert_kept_by(forwarder);
 }
 
 /// Guards against endpoints that take a read buffer for each small write of their responses: 64 responses with the longest
--- a/crates/forwarder/tests/program/submissions.rs
+++ b/crates/forwarder/tests/program/submissions.rs
@@ -7,13 +7,8 @@
 #[test]
 fn delivers_a_message_once_and_rejects_invalid_submissions() {
     let (endpoint, request_log) = endpoint_responding_with("200 OK");
-    let platform = start_platform(vec![member(endpoint, 7, "Ready")], 0);
-    let (_dir, state) = state_folder();
-    let forwarder = start(
-        &state,
-        &startup_config("notice", "guarded", 200, 3.0),
-        platform.address,
-    );
+    let setup = start_with_endpoint(endpoint, &startup_config("notice", "guarded", 200, 3.0));
+    let forwarder = &setup.forwarder;
     assert_eq!(forwarder.submit("a1", "notice"), 202);
     wait_until("the message is delivered", || {
         count_calls(&request_log, "a1") == 1
@@ -96,13 +91,8 @@
 #[test]
 fn rejects_the_id_of_an_unfinished_message_with_different_content() {
     let (endpoint, _) = silent_endpoint();
-    let platform = start_platform(vec![member(endpoint, 7, "Ready")], 0);
-    let (_dir, state) = state_folder();
-    let forwarder = start(
-        &state,
-        &startup_config("notice", "free", 200, 3.0),
-        platform.address,
-    );
+    let setup = start_with_endpoint(endpoint, &startup_config("notice", "free", 200, 3.0));
+    let forwarder = &setup.forwarder;
     let head = submission_head("one", "notice", 4);
     let answers = [b"body", b"body", b"ydob"].map(|body| forwarder.request_status(&head, body));
     assert_eq!(answers, [202, 202, 409]);
@@ -116,13 +106,8 @@
         true => empty_response("200 OK"),
         false => empty_response("429 Wait\r\nWait-Ms: 300"),
     });
-    let platform = start_platform(vec![member(endpoint, 7, "Ready")], 0);
-    let (_dir, state) = state_folder();
-    let forwarder = start(
-        &state,
-        &startup_config("notice", "free", 200, 0.4),
-        platform.address,
-    );
+    let setup = start_with_endpoint(endpoint, &startup_config("notice", "free", 200, 0.4));
+    let forwarder = &setup.forwarder;
     let body = vec![b'x'; 40_000];
     let submit = |n: usize| {
         forwarder.request_status(
@@ -135,7 +120,7 @@
         answers.starts_with(&[202]) && answers.ends_with(&[503]),
         "expected accepted submissions, then rejected ones, got {answers:?}"
     );
-    let files = std::fs::read_dir(&state)
+    let files = std::fs::read_dir(&setup.state)
         .expect("the state folder is readable")
         .map(|f| f.expect("the entry is readable").metadata());
     let used_bytes: u64 = files
