--- a/crates/forwarder/src/endpoint_list/watch.rs
+++ b/crates/forwarder/src/endpoint_list/watch.rs
@@ -5,37 +5,25 @@
 //! polled, each poll has a cost, so the actor polls only when the dispatcher requests it, and reports each failure to
 //! the dispatcher.
 
+mod poll_request;
+mod state;
+
 use super::table::EndpointTable;
 use crate::commands::{DispatcherCommand, EndpointListCommand};
 use crate::platform::{PlatformClient, PlatformError, PlatformResponse, Reachability};
 use crate::protocol::{list_path, EndpointListDocument};
 use hyper::{Method, StatusCode};
-use opalpulley::{EndpointListUpdate, Event, MAX_POLL_SILENCE};
+use opalpulley::{EndpointListUpdate, Event};
 use opalpulley_config::Names;
+use poll_request::{PollRequest, PollTimeouts};
 use slog::{info, warn, Logger};
+use state::WatchState;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 
-/// Upper bound on the time that the agent waits for a change before it responds to a watch. It bounds how long a watch
-/// that has fallen silent goes unnoticed.
-const MAX_WATCH_WAIT: Duration = Duration::from_secs(5);
-
-/// Upper bound on the duration of a fetch, and on how much longer than the requested wait a watch may take. The agent
-/// runs on the same machine.
-const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// Counterpart of [`MAX_WATCH_WAIT`] where discovery must be polled. The next poll comes later there, so silence must
-/// be noticed sooner.
-const POLLED_MAX_WATCH_WAIT: Duration = Duration::from_secs(2);
-
-/// Counterpart of [`RESPONSE_TIMEOUT`] where discovery must be polled. The core relies on the sum of the wait and this
-/// timeout, which is [`MAX_POLL_SILENCE`].
-const POLLED_RESPONSE_TIMEOUT: Duration =
-    Duration::from_micros(MAX_POLL_SILENCE).saturating_sub(POLLED_MAX_WATCH_WAIT);
-
 /// Upper bound on the duration of a poll where discovery must be polled, including the time that it continues in the
 /// background after its timeout. It is longer than any poll that is made meanwhile.
 const LATE_POLL_TIMEOUT: Duration = Duration::from_secs(7);
@@ -67,65 +55,6 @@
 /// A poll in flight. It returns the connection that it used.
 type PollInFlight = Pin<Box<dyn Future<Output = (PlatformClient, PollResult)> + Send>>;
 
-/// The polls that are wanted, and the state of earlier ones.
-struct WatchState {
-    /// Whether to watch for changes.
-    watch_wanted: bool,
-    /// Whether to fetch the complete list.
-    fetch_wanted: bool,
-    /// Whether the next watch is the first one. Where the list must be confirmed, it is answered at once, because an
-    /// answer without changes confirms the list as well.
-    is_first_watch: bool,
-    /// Whether the latest poll succeeded. Only a change of this state is logged.
-    reachability: Reachability,
-    /// The latest poll that timed out, which continues in the background. It is dropped once a later poll succeeds, or
-    /// replaced once a later poll times out. An overloaded discovery responds late: dropping its responses and polling
-    /// again would add load without ever getting a response in time.
-    late_poll: Option<PollInFlight>,
-}
-
-impl WatchState {
-    fn handle_command(&mut self, command: EndpointListCommand) {
-        match command {
-            EndpointListCommand::StartWatch => self.watch_wanted = true,
-            EndpointListCommand::StopWatch => self.watch_wanted = false,
-            EndpointListCommand::Fetch => self.fetch_wanted = true,
-        }
-    }
-
-    fn poll_wanted(&self) -> bool {
-        self.watch_wanted || self.fetch_wanted
-    }
-
-    /// Waits for the result of the poll that timed out. Never completes if there is no such poll.
-    async fn late_result(&mut self) -> PollResult {
-        let Some(poll) = &mut self.late_poll else {
-            return std::future::pending().await;
-        };
-        let (_, result) = poll.await;
-        self.late_poll = None;
-        result
-    }
-}
-
-/// The request of one poll.
-struct PollRequest {
-    /// The revision after which changes are requested, and the maximum time that the agent may wait for one. `None`
-    /// requests the complete list.
-    watch: Option<(u64, Duration)>,
-    /// Upper bound on the time until the whole response is read.
-    timeout: Duration,
-}
-
-impl PollRequest {
-    /// Returns whether commands since the start of the poll have made it useless: no poll is wanted any more, or a
-    /// fetch is wanted in place of a watch.
-    fn is_superseded(&self, state: &WatchState) -> bool {
-        let fetch_replaces_watch = state.fetch_wanted && self.watch.is_some();
-        fetch_replaces_watch || !state.poll_wanted()
-    }
-}
-
 /// The way in which a poll ended.
 enum PollOutcome {
     /// The poll got a response, failed or timed out.
@@ -143,13 +72,8 @@
         // Where discovery must be polled, a known list is not fetched again, because a watch returns what has changed
         // since its revision.
         let fetch_wanted = !self.must_be_polled || self.table.revision.is_none();
-        let mut state = WatchState {
-            watch_wanted: !self.must_be_polled,
-            fetch_wanted,
-            is_first_watch: true,
-            reachability: Reachability::Reachable,
-            late_poll: None,
-        };
+        let watch_wanted = !self.must_be_polled;
+        let mut state = WatchState::new(watch_wanted, fetch_wanted);
         while self.run_once(&mut state, &mut commands).await.is_ok() {}
     }
 
@@ -221,43 +145,24 @@
                 }
                 result = state.late_result() => self.apply_late_result(state, result).await?,
             }
-            if request.is_superseded(state) {
+            if is_superseded(&request, state) {
                 return Ok(PollOutcome::Superseded);
             }
         }
     }
 
+    /// Returns the poll to make next.
     fn next_request(&self, state: &mut WatchState) -> PollRequest {
-        // Where discovery must be polled, a fetch may take as long as a watch, because giving it up would waste its
-        // cost.
-        let (max_wait, response_timeout, fetch_timeout) = if self.must_be_polled {
-            let max_poll_duration = POLLED_MAX_WATCH_WAIT + POLLED_RESPONSE_TIMEOUT;
-            (
-                POLLED_MAX_WATCH_WAIT,
-                POLLED_RESPONSE_TIMEOUT,
-                max_poll_duration,
-            )
-        } else {
-            (MAX_WATCH_WAIT, RESPONSE_TIMEOUT, RESPONSE_TIMEOUT)
+        let timeouts = PollTimeouts::new(self.must_be_polled);
+        let Some(revision) = self.table.revision.filter(|_| !state.fetch_wanted) else {
+            return timeouts.fetch();
         };
-        match self.table.revision {
-            Some(revision) if !state.fetch_wanted => {
-                let is_first = std::mem::replace(&mut state.is_first_watch, false);
-                let confirms_list = is_first && self.table.is_unconfirmed();
-                let wait = if confirms_list {
-                    Duration::ZERO
-                } else {
-                    max_wait
-                };
-                PollRequest {
-                    watch: Some((revision, wait)),
-                    timeout: wait + response_timeout,
-                }
-            }
-            _ => PollRequest {
-                watch: None,
-                timeout: fetch_timeout,
-            },
+        let is_first_watch = std::mem::replace(&mut state.is_first_watch, false);
+        // An answer without changes confirms the list as well.
+        if is_first_watch && self.table.is_unconfirmed() {
+            timeouts.changes_now(revision)
+        } else {
+            timeouts.watch(revision)
         }
     }
 
@@ -366,6 +271,13 @@
     }
 }
 
+/// Returns whether commands since the start of the poll have made it useless: no poll is wanted any more, or a fetch is
+/// wanted in place of a watch.
+fn is_superseded(request: &PollRequest, state: &WatchState) -> bool {
+    let fetch_replaces_watch = state.fetch_wanted && request.watch.is_some();
+    fetch_replaces_watch || !state.poll_wanted()
+}
+
 fn decode_document(response: PlatformResponse) -> PollResult {
     if response.status != StatusCode::OK {
         return Err(PlatformError::Status(response.status));
--- /dev/null
+++ b/crates/forwarder/src/endpoint_list/watch/state.rs
@@ -0,0 +1,58 @@
+//! The polls of the endpoint list that are wanted, and the state of earlier ones.
+
+use super::{PollInFlight, PollResult};
+use crate::commands::EndpointListCommand;
+use crate::platform::Reachability;
+
+/// The polls that are wanted, and the state of earlier ones.
+pub struct WatchState {
+    /// Whether to watch for changes.
+    pub watch_wanted: bool,
+    /// Whether to fetch the complete list.
+    pub fetch_wanted: bool,
+    /// Whether no watch has been opened yet.
+    pub is_first_watch: bool,
+    /// Whether the latest poll succeeded. Only a change of this state is logged.
+    pub reachability: Reachability,
+    /// The latest poll that timed out, which continues in the background. It is dropped once a later poll succeeds, or
+    /// replaced once a later poll times out. An overloaded discovery responds late: dropping its responses and polling
+    /// again would add load without ever getting a response in time.
+    pub late_poll: Option<PollInFlight>,
+}
+
+impl WatchState {
+    /// Returns the state before the first poll.
+    pub fn new(watch_wanted: bool, fetch_wanted: bool) -> WatchState {
+        WatchState {
+            watch_wanted,
+            fetch_wanted,
+            is_first_watch: true,
+            reachability: Reachability::Reachable,
+            late_poll: None,
+        }
+    }
+
+    /// Applies a command of the dispatcher.
+    pub fn handle_command(&mut self, command: EndpointListCommand) {
+        match command {
+            EndpointListCommand::StartWatch => self.watch_wanted = true,
+            EndpointListCommand::StopWatch => self.watch_wanted = false,
+            EndpointListCommand::Fetch => self.fetch_wanted = true,
+        }
+    }
+
+    /// Returns whether any poll is wanted.
+    pub fn poll_wanted(&self) -> bool {
+        self.watch_wanted || self.fetch_wanted
+    }
+
+    /// Waits for the result of the poll that timed out. Never completes if there is no such poll.
+    pub async fn late_result(&mut self) -> PollResult {
+        let Some(poll) = &mut self.late_poll else {
+            return std::future::pending().await;
+        };
+        let (_, result) = poll.await;
+        self.late_poll = None;
+        result
+    }
+}
