--- a/crates/lab/src/scripted/process.rs
+++ b/crates/lab/src/scripted/process.rs
@@ -1,12 +1,18 @@
 //! A forwarder's process, and a client's requests to it.
 
 use super::http::read_status;
-use super::{wait_until, MAX_WAIT};
+use super::MAX_WAIT;
+use std::fs::File;
 use std::io::Write;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Status of the answer to `GET /up` once clients may submit messages.
+const UP_STATUS: u16 = 200;
 
 /// A forwarder process, which is killed on drop.
 pub struct Forwarder {
@@ -65,17 +71,32 @@
         .expect("the listener should have an address")
 }
 
-/// Starts a forwarder and waits until it is up. Panics if it isn't up within 10 s.
+/// Starts a forwarder and waits until it is up. Panics if it isn't up within 10 s, with the state of the process, the last
+/// status and the log. The log is written beside the folder `state`, unless the environment variable `SHOW` is set.
 pub fn start(program: &str, state: &Path, config: &str, discovery: SocketAddr) -> Forwarder {
     let listen = unused_address();
-    let child = command(program, state, config, &listen.to_string(), discovery)
-        .spawn()
-        .expect("the forwarder should start");
-    let forwarder = Forwarder { child, listen };
-    wait_until("the forwarder is up", || {
-        forwarder.request_status("GET /up HTTP/1.1\r\nHost: x\r\n\r\n", b"") == 200
-    });
-    forwarder
+    let log_file = state.with_file_name("forwarder.log");
+    let mut command = command(program, state, config, &listen.to_string(), discovery);
+    if std::env::var("SHOW").is_err() {
+        let log = File::create(&log_file).expect("the log should be created");
+        command.stderr(log);
+    }
+    let child = command.spawn().expect("the forwarder should start");
+    let mut forwarder = Forwarder { child, listen };
+    let started = Instant::now();
+    loop {
+        let status = forwarder.request_status("GET /up HTTP/1.1\r\nHost: x\r\n\r\n", b"");
+        if status == UP_STATUS {
+            return forwarder;
+        }
+        assert!(
+            started.elapsed() < MAX_WAIT,
+            "the forwarder at {listen} is not up after {MAX_WAIT:?}: last status {status}, process {:?}, log:\n{}",
+            forwarder.child.try_wait(),
+            std::fs::read_to_string(&log_file).unwrap_or_default()
+        );
+        thread::sleep(Duration::from_millis(5));
+    }
 }
 
 /// Returns the head of a request that submits a message for destination 7. `path` is the delivery class, `length` the size of
