--- a/crates/lab/src/scripted/process.rs
+++ b/crates/lab/src/scripted/process.rs
@@ -2,9 +2,10 @@
 
 use super::http::read_status;
 use super::MAX_WAIT;
+use socket2::{Domain, Socket, Type};
 use std::fs::File;
 use std::io::Write;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -65,10 +66,27 @@
     // The host is outside 127.0.0.0/16, where scripted peers listen, and isn't the last address of 127.0.0.0/8.
     let second_octet = 1 + process_high % 128;
     let host = Ipv4Addr::new(127, second_octet, process_low, host_number_low);
-    let listener = TcpListener::bind((host, 0)).expect("a port of the host should be free");
-    listener
+    let (_socket, address) = bind_free_port(host);
+    address
+}
+
+/// Binds a socket to a free port of a host, and returns it with its address. The socket does not listen: a process that is
+/// being started elsewhere holds a copy of it until its program is loaded, and a copy that listened would keep the forwarder
+/// from listening at the address.
+fn bind_free_port(host: Ipv4Addr) -> (Socket, SocketAddr) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket should be created");
+    socket
+        .set_reuse_address(true)
+        .expect("the socket option should be set");
+    let any_port = SocketAddr::from((host, 0));
+    socket
+        .bind(&any_port.into())
+        .expect("a port of the host should be free");
+    let address = socket
         .local_addr()
-        .expect("the listener should have an address")
+        .expect("the socket should have an address");
+    let address = address.as_socket().expect("the address should be IPv4");
+    (socket, address)
 }
 
 /// Starts a forwarder and waits until it is up. Panics if it isn't up within 10 s, with the state of the process, the last
@@ -165,3 +183,6 @@
             .success());
     }
 }
+
+#[cfg(test)]
+mod tests;
