Reload warns of a changed limit on memory, which bounds client connections

What operators would see: after SIGHUP with another limits.memory_mb the log did not say that the change takes effect only at the next start.

Cause: ComparedConfig lacked client_memory.

Change: client_memory is compared.

--- a/crates/forwarder/src/startup_config.rs
+++ b/crates/forwarder/src/startup_config.rs
@@ -97,6 +97,7 @@
     listen: SocketAddr,
     journal_bytes: u64,
     max_client_connections: usize,
+    client_memory: ClientMemory,
     max_idle_connections: usize,
     settings: ForwarderSettings,
 }
@@ -108,6 +109,7 @@
             listen: self.listen,
             journal_bytes: self.journal_bytes,
             max_client_connections: self.max_client_connections,
+            client_memory: self.client_memory,
             max_idle_connections: self.max_idle_connections,
             settings: self.settings.clone(),
         }
--- a/crates/forwarder/src/startup_config/tests.rs
+++ b/crates/forwarder/src/startup_config/tests.rs
@@ -74,6 +74,17 @@
     assert_eq!(startup.client_memory.body_budget_bytes, 48_000_000);
 }
 
+/// Guards against a reload that changes the limit on memory without a warning, although it takes effect only at the next
+/// start. The journal is the same at both limits.
+#[test]
+fn compares_the_memory_limit_at_a_reload() {
+    let startup = parse(EXAMPLE, &[]).expect("the configuration is valid");
+    let with_less_memory = parse(&EXAMPLE.replace("192", "64"), &[]);
+    let with_less_memory = with_less_memory.expect("the configuration is valid");
+    assert_eq!(startup.journal_bytes, with_less_memory.journal_bytes);
+    assert!(startup.compared() != with_less_memory.compared());
+}
+
 /// The allocated descriptors never exceed the limit, and attempts and clients each get at least one, whatever the
 /// concurrency limit.
 #[test]
