Clients: the announced length of a body is checked by one function

Need: wrote the check of body.rs again in submission_service.rs, so that read_body's own check could not fail there, and errors were mapped in two places.

Change: body::announced_length serves both; submission_error maps BodyError. Answers are unchanged.

--- a/crates/forwarder/src/body.rs
+++ b/crates/forwarder/src/body.rs
@@ -33,18 +33,23 @@
 
 impl std::error::Error for BodyError {}
 
+/// Returns the length that a body has at least, in bytes. It is the whole length if the head announces one. Fails if it
+/// exceeds `limit`.
+pub fn announced_length(body: &impl Body, limit: usize) -> Result<usize, BodyError> {
+    match usize::try_from(body.size_hint().lower()) {
+        Ok(length) if length <= limit => Ok(length),
+        _ => Err(BodyError::TooLong { limit }),
+    }
+}
+
 /// Reads a body of at most `limit` bytes to its end and returns it. Fails as soon as the length is known to exceed the
 /// limit, or if the connection fails.
 pub async fn read_body<B>(body: B, limit: usize) -> Result<Bytes, BodyError>
 where
     B: Body<Data = Bytes, Error = hyper::Error>,
 {
-    let announced_length = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-    if announced_length > limit {
-        return Err(BodyError::TooLong { limit });
-    }
     // The system provides the memory as it is filled, so an announced length takes none by itself.
-    let mut content = Vec::with_capacity(announced_length);
+    let mut content = Vec::with_capacity(announced_length(&body, limit)?);
     read_pieces(body, limit, |piece| content.extend_from_slice(piece)).await?;
     Ok(Bytes::from(content.into_boxed_slice()))
 }
--- a/crates/forwarder/src/clients/submission_service.rs
+++ b/crates/forwarder/src/clients/submission_service.rs
@@ -2,7 +2,7 @@
 //! answer.
 
 use super::body_budget::BodyBudget;
-use crate::body::{discard_body, read_body, BodyError};
+use crate::body::{announced_length, discard_body, read_body, BodyError};
 use crate::commands::{SubmissionAnswer, SubmissionRequest};
 use crate::protocol::{
     decode_head, encode_retry_after, SubmissionError, SubmissionRequirements, SubmittedMessage,
@@ -11,7 +11,7 @@
 use crate::startup_config::ClientMemory;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{HeaderValue, ALLOW, CONNECTION, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
 use opalpulley::{Config, DeliveryClassConfig, DeliverySemantics, Micros};
@@ -141,8 +141,8 @@
         let mut submitted = decode_head(&head, &self.names, &self.requirements)?;
         // The head shares a read buffer of the connection, which is free again while the body is received.
         drop(head);
-        let announced_length = announced_length(&body)?;
-        let Some(_reservation) = self.body_budget.reserve(announced_length) else {
+        let length = announced_length(&body, MAX_BODY_BYTES).map_err(submission_error)?;
+        let Some(_reservation) = self.body_budget.reserve(length) else {
             discard_submission_body(body).await;
             return Err(SubmissionError::BodyMemoryExhausted);
         };
@@ -190,27 +190,23 @@
     }
 }
 
-/// Returns the length that the head of a submission announces for its body, in bytes. Fails if it exceeds
-/// [`MAX_BODY_BYTES`].
-fn announced_length(body: &Incoming) -> Result<usize, SubmissionError> {
-    match usize::try_from(body.size_hint().lower()) {
-        Ok(length) if length <= MAX_BODY_BYTES => Ok(length),
-        _ => Err(SubmissionError::BodyTooLarge),
-    }
-}
-
 /// Reads a whole body. Fails if it exceeds [`MAX_BODY_BYTES`], does not arrive within [`BODY_TIMEOUT`], or the
 /// connection fails.
 async fn read_submission_body(body: Incoming) -> Result<Bytes, SubmissionError> {
     let whole_body = read_body(body, MAX_BODY_BYTES);
     match tokio::time::timeout(BODY_TIMEOUT, whole_body).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(BodyError::TooLong { .. })) => Err(SubmissionError::BodyTooLarge),
-        Ok(Err(BodyError::Connection(error))) => Err(SubmissionError::BodyUnreadable(error)),
+        Ok(result) => result.map_err(submission_error),
         Err(_) => Err(SubmissionError::BodyTimedOut),
     }
 }
 
+fn submission_error(error: BodyError) -> SubmissionError {
+    match error {
+        BodyError::TooLong { .. } => SubmissionError::BodyTooLarge,
+        BodyError::Connection(error) => SubmissionError::BodyUnreadable(error),
+    }
+}
+
 /// Reads a body that is not used. An answer that is written before the whole request is read may be lost, because the
 /// system resets a connection that is closed with unread bytes.
 async fn discard_submission_body(body: Incoming) {
