--- a/crates/lab/src/scripted.rs
+++ b/crates/lab/src/scripted.rs
@@ -11,7 +11,7 @@
 pub use http::{empty_response, ok_response, read_http_message, read_status, HttpMessage};
 pub use platform::{endpoint_list, member, member_named, start_platform, Platform};
 pub use process::{command, start, submission_head, Forwarder};
-pub use server::{count_calls, serve, FullBacklogListener, RequestLog};
+pub use server::{count_calls, serve, serve_connections, FullBacklogListener, RequestLog};
 pub use startup_config::{startup_config, state_folder, with_further_keys};
 
 use std::thread;
--- a/crates/lab/src/scripted/server.rs
+++ b/crates/lab/src/scripted/server.rs
@@ -22,6 +22,24 @@
     )
 }
 
+/// Starts a server on a free loopback port that passes each connection to `handle`, on a thread of its own. The connection is
+/// closed when `handle` returns.
+pub fn serve_connections(handle: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port should be free");
+    let address = listener
+        .local_addr()
+        .expect("the listener should have an address");
+    let handle = Arc::new(handle);
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let stream = stream.expect("the connection should be accepted");
+            let handle = handle.clone();
+            thread::spawn(move || handle(stream));
+        }
+    });
+    address
+}
+
 fn serve_on(
     listener: TcpListener,
     respond: impl Fn(&HttpMessage, usize) -> Option<String> + Send + Sync + 'static,
