--- a/crates/forwarder/src/commands.rs
+++ b/crates/forwarder/src/commands.rs
@@ -90,8 +90,6 @@
     },
     /// Withdraws all attempts and health checks whose last byte has not been written.
     WithdrawUnsent,
-    /// Closes the connections that carry no request.
-    CloseIdleConnections,
 }
 
 /// An attempt to deliver a message, with all data that the encoder of the request needs.
--- a/crates/forwarder/src/dispatcher/actions.rs
+++ b/crates/forwarder/src/dispatcher/actions.rs
@@ -26,12 +26,8 @@
             Action::WithdrawUnsent { endpoint } => {
                 self.send_endpoint_command_if_running(endpoint, EndpointCommand::WithdrawUnsent);
             }
-            Action::CloseIdleConnections { endpoint } => {
-                self.send_endpoint_command_if_running(
-                    endpoint,
-                    EndpointCommand::CloseIdleConnections,
-                );
-            }
+            // No connection is idle: each carries one request and is then closed.
+            Action::CloseIdleConnections { .. } => {}
             Action::WatchEndpointList { enabled } => {
                 self.send_list_command(if enabled {
                     EndpointListCommand::StartWatch
--- a/crates/forwarder/src/dispatcher/endpoints.rs
+++ b/crates/forwarder/src/dispatcher/endpoints.rs
@@ -1,5 +1,5 @@
 //! The actors of the endpoints in use. An actor is started by the first command to its endpoint, and is stopped once the
-//! endpoint has been idle for so long that none of its connections can be reused.
+//! endpoint has been idle for a while.
 
 use crate::commands::EndpointCommand;
 use crate::endpoints::{Endpoint, EndpointContext};
@@ -15,8 +15,8 @@
 /// withdrawal that a retry-after in its response causes.
 const COMMANDS_PER_PERMIT: usize = 3;
 
-/// Capacity of an actor's mailbox for commands that belong to no permit: health checks, closing of connections, and
-/// withdrawals after a change of the endpoint list.
+/// Capacity of an actor's mailbox for commands that belong to no permit: health checks, and withdrawals after a change of
+/// the endpoint list.
 const COMMANDS_WITHOUT_PERMIT: usize = 64;
 
 /// Upper bound on the duration of a health check, in connect timeouts: `HEALTH_CHECK_TIMEOUT_FACTOR` of the endpoint's
@@ -50,7 +50,7 @@
     pub fn new(context: Arc<EndpointContext>, concurrency_limit: u32) -> EndpointActors {
         let mailbox_capacity =
             COMMANDS_PER_PERMIT * concurrency_limit as usize + COMMANDS_WITHOUT_PERMIT;
-        // After this time every idle connection is closed and every health check has ended.
+        // After this time every health check has ended.
         let config = &context.config;
         let health_check_timeout =
             HEALTH_CHECK_CONNECT_TIMEOUTS.saturating_mul(config.connect_timeout);
@@ -173,7 +173,7 @@
 }
 
 /// Starts an actor and returns its mailbox. Dropping the mailbox stops the actor: it reads the commands that are left,
-/// waits for the attempts and health checks in flight, and closes its connections.
+/// and waits for the attempts and health checks in flight.
 fn start_actor(
     endpoint: EndpointId,
     context: &Arc<EndpointContext>,
--- a/crates/forwarder/src/dispatcher/endpoints/tests.rs
+++ b/crates/forwarder/src/dispatcher/endpoints/tests.rs
@@ -30,7 +30,7 @@
             endpoint_kinds: kinds,
             load_metrics,
         },
-        idle_permits: Arc::new(Semaphore::new(64)),
+        body_permits: Arc::new(Semaphore::new(64)),
         dispatcher,
         log: slog::Logger::root(slog::Discard, slog::o!()),
     };
@@ -89,11 +89,7 @@
     for use_index in 0..USES {
         let now = Micros::from(use_index) * USE_INTERVAL;
         actors.stop_idle(now);
-        assert!(actors.send_command(
-            now,
-            endpoint(use_index),
-            EndpointCommand::CloseIdleConnections
-        ));
+        assert!(actors.send_command(now, endpoint(use_index), EndpointCommand::WithdrawUnsent));
         assert!(
             actors.running.len() <= max_running && actors.idle_checks.len() == actors.running.len()
         );
@@ -112,7 +108,7 @@
 #[tokio::test]
 async fn keeps_actor_with_outstanding_attempt_running() {
     let (mut actors, _commands) = actors();
-    assert!(actors.send_command(0, endpoint(1), EndpointCommand::CloseIdleConnections));
+    assert!(actors.send_command(0, endpoint(1), EndpointCommand::WithdrawUnsent));
     actors.attempt_started(endpoint(1));
     actors.stop_idle(10 * IDLE_TIMEOUT);
     assert!(actors.is_running(endpoint(1)));
@@ -124,7 +120,7 @@
     assert!(!actors.is_running(endpoint(1)));
     assert_eq!(actors.next_idle_check_at(), None);
     // No entry is left of an actor whose endpoint was removed.
-    assert!(actors.send_command(0, endpoint(2), EndpointCommand::CloseIdleConnections));
+    assert!(actors.send_command(0, endpoint(2), EndpointCommand::WithdrawUnsent));
     actors.stop(endpoint(2));
     assert!(actors.running.is_empty() && actors.idle_checks.is_empty());
 }
--- a/crates/forwarder/src/dispatcher/tests.rs
+++ b/crates/forwarder/src/dispatcher/tests.rs
@@ -71,11 +71,10 @@
     let (list_watch, _) = mpsc::channel(1);
     let (gossip, _) = mpsc::channel(1);
     let (completion_reports, pending_reports) = mpsc::unbounded_channel();
-    let idle = Arc::new(Semaphore::new(4));
     let context = Arc::new(EndpointContext {
         config: connections,
         names,
-        idle_permits: idle,
+        body_permits: Arc::new(Semaphore::new(4)),
         dispatcher,
         log: log.clone(),
     });
@@ -406,6 +405,14 @@
     );
 }
 
+/// Returns a command that has no effect.
+fn cancel_unknown_attempt() -> EndpointCommand {
+    EndpointCommand::CancelAttempt {
+        id: MessageId(u32::MAX),
+        attempt_index: 0,
+    }
+}
+
 /// An attempt that is dropped because the mailbox of the endpoint's actor is full has not taken effect, although its
 /// start is journalled. The message is sent once the mailbox has space.
 #[tokio::test]
@@ -424,7 +431,7 @@
     // The actor does not run during this loop, which does not yield.
     while fixture
         .dispatcher
-        .send_endpoint_command(endpoint, EndpointCommand::CloseIdleConnections)
+        .send_endpoint_command(endpoint, cancel_unknown_attempt())
     {}
     assert_eq!(
         fixture.submit("at-most-once", 2).await,
--- a/crates/forwarder/src/endpoint_list/watch.rs
+++ b/crates/forwarder/src/endpoint_list/watch.rs
@@ -52,8 +52,8 @@
 
 type PollResult = Result<EndpointListDocument, PlatformError>;
 
-/// A poll in flight. It returns the connection that it used.
-type PollInFlight = Pin<Box<dyn Future<Output = (PlatformClient, PollResult)> + Send>>;
+/// A poll in flight.
+type PollInFlight = Pin<Box<dyn Future<Output = PollResult> + Send>>;
 
 /// The way in which a poll ended.
 enum PollOutcome {
@@ -126,10 +126,7 @@
         // cost.
         loop {
             tokio::select! {
-                (platform, result) = &mut poll => {
-                    self.platform = platform;
-                    return Ok(PollOutcome::Finished(result));
-                }
+                result = &mut poll => return Ok(PollOutcome::Finished(result)),
                 () = &mut timeout => {
                     if self.must_be_polled {
                         state.late_poll = Some(poll);
@@ -166,23 +163,19 @@
         }
     }
 
-    /// Starts a poll on the current connection, which the poll returns at its end. Until then a new connection to the
-    /// same address takes its place.
-    fn start_poll(&mut self, request: &PollRequest) -> PollInFlight {
+    fn start_poll(&self, request: &PollRequest) -> PollInFlight {
         let path = list_path(request.watch);
         let timeout = if self.must_be_polled {
             LATE_POLL_TIMEOUT
         } else {
             request.timeout
         };
-        let replacement = self.platform.clone_without_connection();
-        let mut platform = std::mem::replace(&mut self.platform, replacement);
+        let platform = self.platform;
         Box::pin(async move {
             let response = platform
                 .request(Method::GET, &path, Default::default(), timeout)
                 .await;
-            let result = response.and_then(decode_document);
-            (platform, result)
+            response.and_then(decode_document)
         })
     }
 
--- a/crates/forwarder/src/endpoint_list/watch/state.rs
+++ b/crates/forwarder/src/endpoint_list/watch/state.rs
@@ -51,7 +51,7 @@
         let Some(poll) = &mut self.late_poll else {
             return std::future::pending().await;
         };
-        let (_, result) = poll.await;
+        let result = poll.await;
         self.late_poll = None;
         result
     }
--- a/crates/forwarder/src/endpoint_list/watch/tests.rs
+++ b/crates/forwarder/src/endpoint_list/watch/tests.rs
@@ -137,6 +137,7 @@
     };
     let confirmed = Event::EndpointListUpdated(EndpointListUpdate::Complete(entries));
     assert_eq!(event, confirmed);
+    let (mut stream, _) = agent.accept().await.expect("the actor polls again");
     let second_request = read_request_head(&mut stream).await;
     assert!(
         second_request.contains("index=7&wait=2000 "),
@@ -175,31 +176,25 @@
         let mut open_streams = Vec::new(); // keeps the connections open
         loop {
             let (mut stream, _) = listener.accept().await.expect("a connection is accepted");
-            let mut head = vec![0; 1024];
-            loop {
-                let read = stream
-                    .read(&mut head)
-                    .await
-                    .expect("the request is readable");
-                let request = String::from_utf8_lossy(&head[..read]).into_owned();
-                if request.contains("index=") {
-                    let max_wait = request
-                        .split("wait=")
-                        .nth(1)
-                        .and_then(|text| text.split(' ').next()?.parse().ok());
-                    watch_sender
-                        .send((Instant::now(), max_wait.expect("the request states a wait")))
-                        .await
-                        .expect("the test receives the watches");
-                    stream
-                        .write_all(partial_response.as_bytes())
-                        .await
-                        .expect("the partial response is written");
-                    break open_streams.push(stream);
-                }
+            let request = read_request_head(&mut stream).await;
+            if !request.contains("index=") {
                 let list = r#"{"revision":1,"complete":true,"members":[]}"#;
                 respond(&mut stream, list).await;
+                continue;
             }
+            let max_wait = request
+                .split("wait=")
+                .nth(1)
+                .and_then(|text| text.split(' ').next()?.parse().ok());
+            watch_sender
+                .send((Instant::now(), max_wait.expect("the request states a wait")))
+                .await
+                .expect("the test receives the watches");
+            stream
+                .write_all(partial_response.as_bytes())
+                .await
+                .expect("the partial response is written");
+            open_streams.push(stream);
         }
     });
     let _fixture = TestFixture::start(address, EndpointTable::default(), false, discard_log());
--- a/crates/forwarder/src/endpoints.rs
+++ b/crates/forwarder/src/endpoints.rs
@@ -1,14 +1,13 @@
 //! The actors that send requests to the endpoints.
 //!
-//! Each endpoint has one actor. It owns the connections to the endpoint, runs attempts and health checks, and reports the
-//! outcome of each to the dispatcher. It makes no decisions: a retry of a message is always started by the dispatcher.
+//! Each endpoint has one actor. It runs attempts and health checks, each on a connection of its own, and reports the outcome
+//! of each to the dispatcher. It makes no decisions: a retry of a message is always started by the dispatcher.
 
 mod actor;
 mod attempt;
 mod attempt_error;
 mod connection;
 mod exchange;
-mod idle_connections;
 mod response_body;
 mod response_filter;
 mod stream;
@@ -28,8 +27,9 @@
     pub config: ConnectionConfig,
     /// Names of the settings; `reports` holds the names under which endpoints report their load.
     pub names: Names,
-    /// Bounds the number of idle connections in the process: each holds one permit.
-    pub idle_permits: Arc<Semaphore>,
+    /// Bounds the number of connections in the process whose response body is still read although the outcome of their
+    /// request is reported: each holds one permit.
+    pub body_permits: Arc<Semaphore>,
     /// Mailbox of the dispatcher, which receives the events.
     pub dispatcher: mpsc::Sender<DispatcherCommand>,
     /// Logger of the process.
--- a/crates/forwarder/src/endpoints/actor.rs
+++ b/crates/forwarder/src/endpoints/actor.rs
@@ -1,11 +1,9 @@
-//! The actor of one endpoint, with its idle connections and its requests in flight.
+//! The actor of one endpoint, with its requests in flight.
 
 use super::attempt::{
     request_ended_event, Attempt, AttemptResult, InFlightRequest, RequestPurpose, StopRequest,
 };
-use super::connection::EndpointConnection;
 use super::exchange::ExchangeDeadlines;
-use super::idle_connections::IdleConnections;
 use super::EndpointContext;
 use crate::commands::{AttemptRequest, EndpointCommand};
 use crate::protocol::{self, EndpointRequest};
@@ -33,21 +31,18 @@
 pub struct Endpoint {
     id: EndpointId,
     context: Arc<EndpointContext>,
-    idle_connections: IdleConnections,
-    /// One task per attempt or health check in flight. A task returns its connection if it can carry another request.
-    pub(super) tasks: JoinSet<Option<EndpointConnection>>,
+    /// One task per attempt or health check in flight. A task owns the connection of its request.
+    pub(super) tasks: JoinSet<()>,
     /// The attempts and health checks in flight, by the id of their task in `tasks`.
     pub(super) in_flight: BTreeMap<Id, InFlightRequest>,
 }
 
 impl Endpoint {
-    /// Creates an actor without connections.
+    /// Creates an actor without requests.
     pub fn new(id: EndpointId, context: Arc<EndpointContext>) -> Endpoint {
-        let endpoint_idle_timeout = Duration::from_micros(context.config.connection_idle_timeout);
         Endpoint {
             id,
             context,
-            idle_connections: IdleConnections::new(endpoint_idle_timeout),
             tasks: JoinSet::new(),
             in_flight: BTreeMap::new(),
         }
@@ -57,23 +52,17 @@
     pub async fn run(mut self, mut commands: mpsc::Receiver<EndpointCommand>) {
         let mut mailbox = MailboxState::Open;
         while mailbox == MailboxState::Open || !self.tasks.is_empty() {
-            let next_retirement = self.idle_connections.next_retirement();
-            let retirement_or_now = next_retirement.unwrap_or_else(Instant::now);
             tokio::select! {
                 command = commands.recv(), if mailbox == MailboxState::Open => match command {
                     Some(command) => self.handle_command(command),
-                    None => {
-                        mailbox = MailboxState::Closed;
-                        self.idle_connections.close_all();
-                    }
+                    None => mailbox = MailboxState::Closed,
                 },
                 Some(ended) = self.tasks.join_next_with_id(), if !self.tasks.is_empty() => match ended {
-                    Ok((task_id, connection)) => self.handle_task_end(task_id, connection, mailbox),
+                    Ok((task_id, ())) => {
+                        self.in_flight.remove(&task_id);
+                    }
                     Err(error) => self.handle_task_failure(error).await,
                 },
-                () = tokio::time::sleep_until(retirement_or_now), if next_retirement.is_some() => {
-                    self.idle_connections.retire_expired();
-                }
             }
         }
     }
@@ -89,7 +78,6 @@
             EndpointCommand::WithdrawUnsent => {
                 self.request_stop(StopRequest::WithdrawUnsent, |_| true);
             }
-            EndpointCommand::CloseIdleConnections => self.idle_connections.close_all(),
         }
     }
 
@@ -136,7 +124,6 @@
     ) {
         let (stop_sender, stop_requests) = watch::channel(StopRequest::Continue);
         let started_at = Instant::now();
-        let idle = self.idle_connections.take();
         let attempt = Attempt {
             endpoint: self.id,
             purpose,
@@ -147,7 +134,7 @@
             },
             context: self.context.clone(),
         };
-        let task = self.tasks.spawn(attempt.run(request, idle, stop_requests));
+        let task = self.tasks.spawn(attempt.run(request, stop_requests));
         let in_flight = InFlightRequest {
             purpose,
             started_at,
@@ -156,25 +143,6 @@
         self.in_flight.insert(task.id(), in_flight);
     }
 
-    fn handle_task_end(
-        &mut self,
-        task_id: Id,
-        connection: Option<EndpointConnection>,
-        mailbox: MailboxState,
-    ) {
-        self.in_flight.remove(&task_id);
-        if let (Some(connection), MailboxState::Open) = (connection, mailbox) {
-            self.keep_connection(connection);
-        }
-    }
-
-    /// Keeps a connection for a later request, or closes it if the process holds as many idle connections as it may.
-    fn keep_connection(&mut self, connection: EndpointConnection) {
-        if let Ok(permit) = self.context.idle_permits.clone().try_acquire_owned() {
-            self.idle_connections.add(connection, permit);
-        }
-    }
-
     /// Reports a connection reset for the request whose task panicked, because that request may have taken effect. Other
     /// requests are not affected.
     async fn handle_task_failure(&mut self, error: JoinError) {
--- a/crates/forwarder/src/endpoints/attempt.rs
+++ b/crates/forwarder/src/endpoints/attempt.rs
@@ -1,9 +1,7 @@
 //! One attempt or health check, from its start to the report of its outcome.
 
 use super::attempt_error::{AttemptError, AttemptStage, FailureCause};
-use super::connection::EndpointConnection;
 use super::exchange::{Exchange, ExchangeDeadlines, ExchangeResult};
-use super::idle_connections::ReusedConnection;
 use super::response_body::{read_body, BodyEnd};
 use super::EndpointContext;
 use crate::clock::micros;
@@ -104,15 +102,14 @@
 }
 
 impl Attempt {
-    /// Sends the request and reports its outcome. Returns the connection if it can carry another request.
+    /// Sends the request and reports its outcome.
     pub async fn run(
         self,
         request: Result<EndpointRequest, hyper::http::Error>,
-        idle: Option<ReusedConnection>,
         stop_requests: watch::Receiver<StopRequest>,
-    ) -> Option<EndpointConnection> {
+    ) {
         let result = match request {
-            Ok(request) => self.exchange(request).run(idle, stop_requests).await,
+            Ok(request) => self.exchange(request).run(stop_requests).await,
             Err(error) => {
                 error!(self.context.log, "attempt or health check not sent: its request could not be encoded"; "problem" => %error);
                 Err(AttemptError {
@@ -124,16 +121,10 @@
         match result {
             Ok(ExchangeResult::Response {
                 response,
-                connection,
-            }) => self.finish_with_response(response, connection).await,
-            Ok(ExchangeResult::DeliveredStatusOnly) => {
-                self.report_delivered().await;
-                None
-            }
-            Err(error) => {
-                self.report_error(error).await;
-                None
-            }
+                connection: _connection,
+            }) => self.finish_with_response(response).await,
+            Ok(ExchangeResult::DeliveredStatusOnly) => self.report_delivered().await,
+            Err(error) => self.report_error(error).await,
         }
     }
 
@@ -142,13 +133,8 @@
         Exchange::new(self.endpoint, request, connect_timeout, self.deadlines)
     }
 
-    /// Reports the result of a response whose head was received, and reads its body. Returns the connection if it can carry
-    /// another request.
-    async fn finish_with_response(
-        &self,
-        response: Response<Incoming>,
-        connection: EndpointConnection,
-    ) -> Option<EndpointConnection> {
+    /// Reports the result of a response whose head was received, and reads its body.
+    async fn finish_with_response(&self, response: Response<Incoming>) {
         let names = &self.context.names;
         let decoded = EndpointResponse::decode(response.status(), response.headers(), names);
         let mut body = pin!(read_body(response.into_body()));
@@ -164,22 +150,18 @@
                 None => body.await,
             }
         };
-        let body_end = self.report_response(decoded, rest_of_body).await;
-        connection.end_exchange();
-        match body_end {
-            BodyEnd::Complete => connection.into_reusable().await,
-            BodyEnd::Incomplete => None,
-        }
+        self.report_response(decoded, rest_of_body).await;
     }
 
     /// Reads the response body to its end, and reports the outcome as soon as it is certain. If the message may have taken
-    /// effect, the response head is enough. Otherwise the whole response must be received, because an incomplete one does
-    /// not prove that the message had no effect.
+    /// effect, the response head is enough, and the rest of the body is read only so that the endpoint can write it.
+    /// Otherwise the whole response must be received, because an incomplete one does not prove that the message had no
+    /// effect.
     async fn report_response(
         &self,
         response: EndpointResponse,
         rest_of_body: impl Future<Output = BodyEnd>,
-    ) -> BodyEnd {
+    ) {
         let result = AttemptResult {
             outcome: response.outcome,
             completed: response.completed,
@@ -187,11 +169,12 @@
         };
         if result.outcome.may_have_taken_effect() {
             self.report(result).await;
-            rest_of_body.await
+            if let Ok(_permit) = self.context.body_permits.try_acquire() {
+                rest_of_body.await;
+            }
         } else {
             let body_end = rest_of_body.await;
             self.report(result.confirmed_by(body_end)).await;
-            body_end
         }
     }
 
--- a/crates/forwarder/src/endpoints/exchange.rs
+++ b/crates/forwarder/src/endpoints/exchange.rs
@@ -1,12 +1,12 @@
-//! One request to an endpoint, from the choice of its connection to the head of the response.
+//! One request to an endpoint, from opening its connection to the head of the response.
 //!
 //! A request is aborted by dropping its future, which closes the connection.
 
 use super::attempt::StopRequest;
 use super::attempt_error::{AttemptError, AttemptStage, FailureCause};
 use super::connection::EndpointConnection;
-use super::idle_connections::{ReusedConnection, SETTLE_TIME};
 use super::stream::{ResponseProgress, StreamState};
+use crate::http_connection::UsedConnection;
 use crate::protocol::EndpointRequest;
 use hyper::body::Incoming;
 use hyper::Response;
@@ -36,7 +36,7 @@
         /// The response head, and the body as it is received.
         response: Response<Incoming>,
         /// The connection that carries the response.
-        connection: EndpointConnection,
+        connection: UsedConnection,
     },
     /// Only a status line with status 200 was received. The rest of the head was missing or invalid.
     DeliveredStatusOnly,
@@ -57,8 +57,8 @@
     request: EndpointRequest,
     connect_timeout: Duration,
     deadlines: ExchangeDeadlines,
-    /// State of the stream that the request is written to. `None` before a connection is chosen.
-    current_stream: watch::Sender<Option<Arc<StreamState>>>,
+    /// State of the stream that the request is written to. `None` before the connection is open.
+    stream: watch::Sender<Option<Arc<StreamState>>>,
 }
 
 impl Exchange {
@@ -74,7 +74,7 @@
             request,
             connect_timeout,
             deadlines,
-            current_stream: watch::Sender::new(None),
+            stream: watch::Sender::new(None),
         }
     }
 
@@ -82,10 +82,9 @@
     /// the loss of the connection.
     pub async fn run(
         self,
-        idle: Option<ReusedConnection>,
         mut stop_requests: watch::Receiver<StopRequest>,
     ) -> Result<ExchangeResult, AttemptError> {
-        let mut request_future = pin!(self.send(idle));
+        let mut request_future = pin!(self.send());
         let ended = tokio::select! {
             biased;
             result = &mut request_future => Ok(result),
@@ -106,57 +105,20 @@
         result
     }
 
-    /// Sends the request on the idle connection. Opens a new connection if there is no idle one, or if no byte was written
-    /// to it.
-    async fn send(&self, idle: Option<ReusedConnection>) -> Result<ExchangeResult, AttemptError> {
-        if let Some(idle) = idle {
-            match self.send_on_idle(idle).await {
-                Err(AttemptError {
-                    stage: AttemptStage::Connecting,
-                    cause: FailureCause::ConnectionLost,
-                }) => {}
-                result => return result,
-            }
-        }
-        self.send_on_new().await
-    }
-
-    /// Sends the request on an idle connection. Fails with `ConnectionLost` in the stage `Connecting` if no byte was
-    /// written.
-    async fn send_on_idle(&self, idle: ReusedConnection) -> Result<ExchangeResult, AttemptError> {
-        let ReusedConnection {
-            mut connection,
-            idle_since,
-        } = idle;
-        tokio::time::sleep_until(idle_since + SETTLE_TIME).await;
-        if !connection.usable().await {
-            return Err(AttemptError::connecting(FailureCause::ConnectionLost));
-        }
+    /// Opens a connection and sends the request. Checks the send deadline before and after the connection is opened: a
+    /// repeat that is sent late could reach the endpoint outside the deduplication window.
+    async fn send(&self) -> Result<ExchangeResult, AttemptError> {
         self.check_send_deadline()?;
-        self.send_on(connection).await
-    }
-
-    /// Sends the request on a new connection. Checks the send deadline before and after the connection is opened: a repeat
-    /// that is sent late could reach the endpoint outside the deduplication window.
-    async fn send_on_new(&self) -> Result<ExchangeResult, AttemptError> {
-        self.check_send_deadline()?;
-        let open = EndpointConnection::open(self.endpoint, self.connect_timeout);
+        let request = self.request.clone();
+        let open = EndpointConnection::open(self.endpoint, request, self.connect_timeout);
         let opened = tokio::time::timeout_at(self.deadlines.send_deadline, open).await;
         let connection = match opened {
             Ok(opened) => opened?,
             Err(_) => return Err(send_deadline_passed()),
         };
         self.check_send_deadline()?;
-        self.send_on(connection).await
-    }
-
-    async fn send_on(
-        &self,
-        mut connection: EndpointConnection,
-    ) -> Result<ExchangeResult, AttemptError> {
-        self.current_stream
-            .send_replace(Some(connection.stream_state()));
-        let response = connection.send(self.request.clone()).await?;
+        self.stream.send_replace(Some(connection.stream_state()));
+        let (response, connection) = connection.send().await?;
         Ok(ExchangeResult::Response {
             response,
             connection,
@@ -187,22 +149,14 @@
         pending().await
     }
 
-    /// Waits until a response on the current stream has begun and its head is overdue.
+    /// Waits until the response has begun and its head is overdue.
     async fn wait_for_stalled_head(&self) {
-        let mut streams = self.current_stream.subscribe();
-        loop {
-            let stream = streams.borrow_and_update().clone();
-            let stalled = async {
-                match &stream {
-                    Some(state) => state.wait_for_stalled_head(RESPONSE_HEAD_TIMEOUT).await,
-                    None => pending().await,
-                }
-            };
-            tokio::select! {
-                () = stalled => return,
-                Ok(()) = streams.changed() => {} // the request moved to another connection
-            }
-        }
+        let mut streams = self.stream.subscribe();
+        let opened = streams.wait_for(Option::is_some).await;
+        let Some(stream) = opened.ok().and_then(|stream| stream.clone()) else {
+            return pending().await;
+        };
+        stream.wait_for_stalled_head(RESPONSE_HEAD_TIMEOUT).await;
     }
 
     /// Aborts the request and returns its result. If all bytes were written, the bytes that the socket already holds are
@@ -237,14 +191,14 @@
     }
 
     fn request_fully_written(&self) -> bool {
-        let stream = self.current_stream.borrow();
+        let stream = self.stream.borrow();
         stream
             .as_ref()
-            .is_some_and(|state| state.request_bytes_written() >= self.request.wire_bytes)
+            .is_some_and(|state| state.request_fully_written())
     }
 
     fn response_progress(&self) -> Option<ResponseProgress> {
-        let stream = self.current_stream.borrow();
+        let stream = self.stream.borrow();
         stream.as_ref().map(|state| state.response_progress())
     }
 }
--- a/crates/forwarder/src/endpoints/golden_tests.rs
+++ b/crates/forwarder/src/endpoints/golden_tests.rs
@@ -44,7 +44,7 @@
             connect_timeout: 5_000_000,
         },
         names,
-        idle_permits: Arc::new(Semaphore::new(4)),
+        body_permits: Arc::new(Semaphore::new(4)),
         dispatcher,
         log: Logger::root(slog::Discard, slog::o!()),
     };
--- a/crates/forwarder/src/endpoints/response_filter.rs
+++ b/crates/forwarder/src/endpoints/response_filter.rs
@@ -29,40 +29,34 @@
     PassThrough,
 }
 
-/// Filters the responses on one connection, one after the other. Owned by its stream.
+/// Filters the response on one connection. Owned by its stream.
 pub struct ResponseFilter {
     state: FilterState,
-    /// Number of bytes of 1xx heads dropped before the current response.
+    /// Number of bytes of 1xx heads dropped so far.
     interim_bytes: usize,
 }
 
 impl ResponseFilter {
-    /// Creates a filter that expects no response yet.
+    /// Creates a filter that expects the status line of the response.
     pub fn new() -> ResponseFilter {
         ResponseFilter {
-            state: FilterState::PassThrough,
+            state: FilterState::status_line(),
             interim_bytes: 0,
         }
     }
 
-    /// Prepares the filter for the status line of a response.
-    pub fn expect_response(&mut self) {
-        self.state = FilterState::status_line();
-        self.interim_bytes = 0;
-    }
-
     /// Returns whether all further bytes of the response are passed through unchanged.
     pub fn passes_through(&self) -> bool {
         matches!(self.state, FilterState::PassThrough)
     }
 
     /// Filters received bytes into `output`, which must have space for `bytes` and a status line. Calls `on_progress` for
-    /// each step of the response. Fails with `InvalidData` if the 1xx heads are too long.
+    /// each step of the response. Fails if `on_progress` fails, and with `InvalidData` if the 1xx heads are too long.
     pub fn push(
         &mut self,
         mut bytes: &[u8],
         output: &mut ReadBuf<'_>,
-        on_progress: impl Fn(ResponseProgress),
+        on_progress: impl Fn(ResponseProgress) -> io::Result<()>,
     ) -> io::Result<()> {
         while !bytes.is_empty() {
             match &mut self.state {
@@ -72,7 +66,7 @@
                 }
                 FilterState::StatusLine(line) => {
                     if let Some(next_state) =
-                        push_status_line(line, &mut bytes, output, &on_progress)
+                        push_status_line(line, &mut bytes, output, &on_progress)?
                     {
                         self.state = next_state;
                     }
@@ -101,26 +95,26 @@
 }
 
 /// Consumes bytes of a status line. Returns the next state, or `None` while the line is incomplete. A line that is too long
-/// is passed through unchanged.
+/// is passed through unchanged. Fails if `on_progress` fails.
 fn push_status_line(
     line: &mut Vec<u8>,
     bytes: &mut &[u8],
     output: &mut ReadBuf<'_>,
-    on_progress: impl Fn(ResponseProgress),
-) -> Option<FilterState> {
+    on_progress: impl Fn(ResponseProgress) -> io::Result<()>,
+) -> io::Result<Option<FilterState>> {
     let line_ended = take_line(line, bytes);
     if !line_ended && line.len() < MAX_STATUS_LINE_BYTES {
-        on_progress(ResponseProgress::Started);
-        return None;
+        on_progress(ResponseProgress::Started)?;
+        return Ok(None);
     }
     let status = if line_ended { parse_status(line) } else { None };
     if let Some(100..=199) = status {
-        on_progress(ResponseProgress::Awaited);
-        return Some(FilterState::Interim { line_ends: 1 });
+        on_progress(ResponseProgress::Awaited)?;
+        return Ok(Some(FilterState::Interim { line_ends: 1 }));
     }
-    on_progress(status.map_or(ResponseProgress::Started, ResponseProgress::Status));
+    on_progress(status.map_or(ResponseProgress::Started, ResponseProgress::Status))?;
     output.put_slice(line);
-    Some(FilterState::PassThrough)
+    Ok(Some(FilterState::PassThrough))
 }
 
 /// Consumes one byte of a 1xx head. Returns whether the head has ended.
--- a/crates/forwarder/src/endpoints/stream.rs
+++ b/crates/forwarder/src/endpoints/stream.rs
@@ -1,7 +1,7 @@
 //! The stream under a connection to an endpoint.
 //!
-//! It counts the bytes written, passes received bytes through the response filter, and fails on bytes that belong to no
-//! request, because they must not be taken for the response to the next request.
+//! It counts the bytes written, passes received bytes through the response filter, and fails on a response that is received
+//! before the request is written whole: it can't be the response to that request.
 
 use super::response_filter::{ResponseFilter, MAX_STATUS_LINE_BYTES};
 use socket2::SockRef;
@@ -21,9 +21,9 @@
 /// How much of the response to the current request has been received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseProgress {
-    /// No request is in flight. Bytes that are received now belong to none.
+    /// No byte of the request has been written. Bytes that are received now are no response to it.
     NoRequest,
-    /// A request is in flight. No byte of its response has been received, apart from 1xx heads.
+    /// Writing the request has begun. No byte of its response has been received, apart from 1xx heads.
     Awaited,
     /// The first bytes of the response have been received.
     Started,
@@ -42,25 +42,29 @@
 
 /// State of a stream, shared between the stream and the attempt that uses its connection.
 pub struct StreamState {
+    /// Number of bytes that the request takes on the connection.
+    request_bytes: u64,
     bytes_written: AtomicU64,
-    /// Number of bytes written before the current request.
-    bytes_before_request: AtomicU64,
     response: watch::Sender<ResponseProgress>,
 }
 
 impl StreamState {
-    fn new() -> StreamState {
+    fn new(request_bytes: u64) -> StreamState {
         StreamState {
+            request_bytes,
             bytes_written: AtomicU64::new(0),
-            bytes_before_request: AtomicU64::new(0),
             response: watch::Sender::new(ResponseProgress::NoRequest),
         }
     }
 
-    /// Returns the number of bytes of the current request that were written to the socket.
-    pub fn request_bytes_written(&self) -> u64 {
-        let before = self.bytes_before_request.load(Ordering::Relaxed);
-        self.bytes_written.load(Ordering::Relaxed) - before
+    /// Returns the number of bytes that were written to the socket.
+    pub fn bytes_written(&self) -> u64 {
+        self.bytes_written.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether all bytes of the request were written to the socket.
+    pub fn request_fully_written(&self) -> bool {
+        self.bytes_written() >= self.request_bytes
     }
 
     /// Returns how much of the response has been received.
@@ -84,13 +88,6 @@
         }
     }
 
-    /// Marks the current exchange as complete.
-    pub fn end_exchange(&self) {
-        let written = self.bytes_written.load(Ordering::Relaxed);
-        self.bytes_before_request.store(written, Ordering::Relaxed);
-        self.response.send_replace(ResponseProgress::NoRequest);
-    }
-
     fn add_bytes_written(&self, count: usize) {
         self.bytes_written
             .fetch_add(count as u64, Ordering::Relaxed);
@@ -104,6 +101,16 @@
             !unchanged
         });
     }
+
+    /// Records progress that received bytes have made. Fails with `InvalidData` on a status before the request is written
+    /// whole.
+    fn record_response(&self, progress: ResponseProgress) -> io::Result<()> {
+        if matches!(progress, ResponseProgress::Status(_)) && !self.request_fully_written() {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        self.set_response_progress(progress);
+        Ok(())
+    }
 }
 
 /// A stream to an endpoint, owned by the HTTP library.
@@ -114,9 +121,9 @@
 }
 
 impl EndpointStream {
-    /// Wraps a new connection. Returns the stream and its shared state.
-    pub fn new(socket: TcpStream) -> (EndpointStream, Arc<StreamState>) {
-        let state = Arc::new(StreamState::new());
+    /// Wraps a new connection that will carry a request of `request_bytes` bytes. Returns the stream and its shared state.
+    pub fn new(socket: TcpStream, request_bytes: u64) -> (EndpointStream, Arc<StreamState>) {
+        let state = Arc::new(StreamState::new(request_bytes));
         let stream = EndpointStream {
             socket,
             state: state.clone(),
@@ -125,8 +132,8 @@
         (stream, state)
     }
 
-    /// Starts an exchange at the first byte of a request. Fails with `ConnectionReset` if the socket holds bytes that belong
-    /// to no request or has ended. Reads the socket directly, because the runtime may not have noticed the bytes yet.
+    /// Starts the exchange at the first byte of the request. Fails with `ConnectionReset` if the socket already holds bytes
+    /// or has ended. Reads the socket directly, because the runtime may not have noticed the bytes yet.
     fn begin_exchange(&mut self) -> io::Result<()> {
         if self.state.response_progress() != ResponseProgress::NoRequest {
             return Ok(());
@@ -136,7 +143,6 @@
             _ => return Err(io::ErrorKind::ConnectionReset.into()),
         }
         self.state.set_response_progress(ResponseProgress::Awaited);
-        self.filter.expect_response();
         Ok(())
     }
 
@@ -147,24 +153,8 @@
         written
     }
 
-    /// Passes bytes of a response after its status line directly to the library. Fails with `InvalidData` if they belong to
-    /// no request.
-    fn poll_read_unfiltered(
-        &mut self,
-        cx: &mut Context<'_>,
-        output: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = output.filled().len();
-        ready!(Pin::new(&mut self.socket).poll_read(cx, output))?;
-        let bytes_received = output.filled().len() > before;
-        if bytes_received && self.state.response_progress() == ResponseProgress::NoRequest {
-            return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
-        }
-        Poll::Ready(Ok(()))
-    }
-
     /// Reads until the filter passes bytes to the library, or to the end of the stream. Drops a status line that is cut off
-    /// by the end of the stream.
+    /// by the end of the stream. Fails with `InvalidData` on bytes before the request has begun.
     fn poll_read_filtered(
         &mut self,
         cx: &mut Context<'_>,
@@ -179,10 +169,13 @@
             if input.filled().is_empty() {
                 return Poll::Ready(Ok(()));
             }
+            if self.state.response_progress() == ResponseProgress::NoRequest {
+                return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+            }
             let before = output.filled().len();
             let state = &self.state;
             self.filter.push(input.filled(), output, |progress| {
-                state.set_response_progress(progress);
+                state.record_response(progress)
             })?;
             if output.filled().len() > before {
                 return Poll::Ready(Ok(()));
@@ -198,7 +191,7 @@
         output: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         if self.filter.passes_through() {
-            self.poll_read_unfiltered(cx, output)
+            Pin::new(&mut self.socket).poll_read(cx, output)
         } else {
             self.poll_read_filtered(cx, output)
         }
--- a/crates/forwarder/src/endpoints/tests.rs
+++ b/crates/forwarder/src/endpoints/tests.rs
@@ -6,7 +6,6 @@
 mod responses;
 
 use super::attempt::{InFlightRequest, RequestPurpose, StopRequest};
-use super::idle_connections::SETTLE_TIME;
 use super::*;
 use crate::commands::{AttemptRequest, EndpointCommand};
 use crate::protocol;
@@ -57,7 +56,7 @@
                 endpoint_kinds: Vec::new(),
                 load_metrics: vec!["x0".into()],
             },
-            idle_permits: Arc::new(Semaphore::new(4)),
+            body_permits: Arc::new(Semaphore::new(4)),
             dispatcher,
             log: Logger::root(slog::Discard, slog::o!()),
         };
--- a/crates/forwarder/src/endpoints/tests/attempts.rs
+++ b/crates/forwarder/src/endpoints/tests/attempts.rs
@@ -124,7 +124,8 @@
     assert!(closes_within_2s(&mut stream).await);
 }
 
-/// No byte is written after the send deadline, neither on a connection that opens late nor on one that is already open.
+/// No byte is written after the send deadline, neither on a connection that opens late nor if the deadline has passed at the
+/// start of the attempt.
 #[tokio::test]
 async fn writes_no_byte_after_the_send_deadline() {
     let mut fixture = TestFixture::new().await;
@@ -157,13 +158,15 @@
         fixture.next_outcome().await,
         (Outcome::NotAttempted { no_permit: false }, false)
     );
-    let mut byte = [0];
-    let read_result =
-        tokio::time::timeout(Duration::from_millis(100), stream.read(&mut byte)).await;
-    assert!(
-        !matches!(read_result, Ok(Ok(1))),
-        "expected no byte after the send deadline"
-    );
+    let accepted =
+        tokio::time::timeout(Duration::from_millis(100), fixture.listener.accept()).await;
+    if let Ok(Ok((mut late_stream, _))) = accepted {
+        let request = read_request(&mut late_stream).await;
+        assert!(
+            request.is_empty(),
+            "expected no byte after the send deadline"
+        );
+    }
 }
 
 /// Guards against a request that was sent although a retry-after was received while its connection was being opened.
@@ -200,7 +203,7 @@
         received < 32 << 20,
         "expected the endpoint to receive only a part of the request"
     );
-    // A fully written request continues, also on a connection that has carried other requests. It can still be cancelled.
+    // A fully written request continues. It can still be cancelled.
     fixture
         .start_attempt(&Bytes::from_static(b"gone"), 1500)
         .await;
@@ -212,10 +215,10 @@
         .await
         .expect("the response is written");
     assert_eq!(fixture.next_outcome().await, (Outcome::Delivered, true));
-    tokio::time::sleep(Duration::from_millis(20)).await;
     fixture
         .start_attempt(&Bytes::from_static(b"gone"), 1500)
         .await;
+    let mut stream = fixture.accept().await;
     read_request(&mut stream).await;
     for command in [
         EndpointCommand::WithdrawUnsent,
--- a/crates/forwarder/src/endpoints/tests/response_filter.rs
+++ b/crates/forwarder/src/endpoints/tests/response_filter.rs
@@ -18,13 +18,15 @@
 /// Passes parts of a response to a new filter, up to the first error.
 fn filter(parts: &[&[u8]]) -> Filtered {
     let mut filter = ResponseFilter::new();
-    filter.expect_response();
     let mut buffer = vec![0; BUFFER_BYTES];
     let mut output = ReadBuf::new(&mut buffer);
     let progress = RefCell::new(Vec::new());
     let mut result = Ok(());
     for part in parts {
-        let record = |step| progress.borrow_mut().push(step);
+        let record = |step| {
+            progress.borrow_mut().push(step);
+            Ok(())
+        };
         result = filter.push(part, &mut output, record);
         if result.is_err() {
             break;
--- a/crates/forwarder/src/endpoints/tests/responses.rs
+++ b/crates/forwarder/src/endpoints/tests/responses.rs
@@ -27,12 +27,9 @@
         ("410 Over", Outcome::NotAttempted { no_permit: false }, true),
         ("400 What", Outcome::Error, false),
     ];
-    fixture.start_attempt(&Bytes::new(), 1000).await;
-    let mut stream = fixture.accept().await;
-    for (n, (line, outcome, completed)) in responses.iter().enumerate() {
-        if n > 0 {
-            fixture.start_attempt(&Bytes::new(), 1000).await; // on the same connection, which stays open
-        }
+    for (line, outcome, completed) in &responses {
+        fixture.start_attempt(&Bytes::new(), 1000).await;
+        let mut stream = fixture.accept().await;
         read_request(&mut stream).await;
         stream
             .write_all(format!("HTTP/1.1 {line}\r\nContent-Length: 0\r\n\r\n").as_bytes())
@@ -43,7 +40,10 @@
             (*outcome, *completed),
             "outcome of the status {line}"
         );
-        tokio::time::sleep(Duration::from_millis(20)).await; // the connection becomes idle
+        assert!(
+            closes_within_2s(&mut stream).await,
+            "expected the connection to be closed after the status {line}"
+        );
     }
 }
 
@@ -58,7 +58,7 @@
         .await
         .expect("the response is written");
     assert_eq!(fixture.next_outcome().await, (Outcome::Delivered, true));
-    assert!(closes_within_2s(&mut stream).await); // a connection with an incomplete response is not reused
+    assert!(closes_within_2s(&mut stream).await);
 }
 
 /// A status line with status 200 confirms the delivery by itself. Any other status must come with a complete response,
@@ -73,27 +73,22 @@
         (
             "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n".to_owned(),
             Outcome::Delivered,
-            false,
         ),
         (
             "HTTP/1.1 200 OK\r\nX: without an end".to_owned(),
             Outcome::Delivered,
-            false,
         ),
         (
             format!("HTTP/1.1 200 OK\r\nX: {}", "x".repeat(100_000)),
             Outcome::Delivered,
-            false,
         ),
         (
             "HTTP/1.1 503 Full\r\nContent-Length: 5\r\n\r\nab".to_owned(),
             Outcome::ConnectionReset,
-            false,
         ),
         (
             "HTTP/1.1 503 Full\r\nX: without an end".to_owned(),
             Outcome::ConnectionReset,
-            false,
         ),
         (
             format!(
@@ -101,42 +96,32 @@
                 "x".repeat(100_000)
             ),
             Outcome::ConnectionReset,
-            false,
         ),
         (
             "HTTP/1.1 410 Over\r\nContent-Length: -1\r\n\r\n".to_owned(),
             Outcome::ConnectionReset,
-            false,
         ),
         (
             "HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n".to_owned(),
             Outcome::ConnectionReset,
-            false,
         ),
-        (
-            "\0\u{1}noise\r\n\r\n".to_owned(),
-            Outcome::ConnectionReset,
-            false,
-        ),
-        ("HTT".to_owned(), Outcome::ConnectionReset, false),
-        ("HTTP/1.1 200 O".to_owned(), Outcome::ConnectionReset, false),
+        ("\0\u{1}noise\r\n\r\n".to_owned(), Outcome::ConnectionReset),
+        ("HTT".to_owned(), Outcome::ConnectionReset),
+        ("HTTP/1.1 200 O".to_owned(), Outcome::ConnectionReset),
         (
             format!("HTTP/1.1 200 {}\r\n\r\n", "x".repeat(100_000)),
             Outcome::ConnectionReset,
-            false,
         ),
         (
             format!("{interim_heads}HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
             Outcome::Delivered,
-            true,
         ),
         (
             format!("{interim_heads}HTTP/1.1 503 Full\r\nContent-Length: 2\r\n\r\nno"),
             rejected,
-            true,
         ),
     ];
-    for (text, outcome, stays_open) in cases {
+    for (text, outcome) in cases {
         let mut fixture = TestFixture::new().await;
         fixture.start_attempt(&Bytes::new(), 20_000).await;
         let mut stream = fixture.accept().await;
@@ -154,18 +139,10 @@
             started_at.elapsed() < Duration::from_secs(1),
             "expected an outcome within 1 s of the response {response_start:?}"
         );
-        if stays_open {
-            fixture.start_attempt(&Bytes::new(), 1000).await;
-            assert!(
-                !read_request(&mut stream).await.is_empty(),
-                "expected the connection to be reused after the response {response_start:?}"
-            );
-        } else {
-            assert!(
-                closes_within_2s(&mut stream).await,
-                "expected the connection to be closed after the response {response_start:?}"
-            );
-        }
+        assert!(
+            closes_within_2s(&mut stream).await,
+            "expected the connection to be closed after the response {response_start:?}"
+        );
     }
 }
 
--- a/crates/forwarder/src/platform.rs
+++ b/crates/forwarder/src/platform.rs
@@ -1,10 +1,11 @@
-//! The HTTP client of the platform's agent on this machine. It reconnects after each failure.
+//! The HTTP client of the platform's agent on this machine. It opens a connection for each request.
 
 use crate::body::{read_body, BodyError};
 use crate::http_connection::HttpConnection;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::Builder;
+use hyper::header::HOST;
 use hyper::{Method, Request, StatusCode};
 use std::fmt;
 use std::io;
@@ -76,67 +77,43 @@
     pub body: Bytes,
 }
 
-/// A client of the platform's agent, with at most one connection. Each actor that talks to the platform owns one.
+/// A client of the platform's agent. Each request has a connection of its own.
+#[derive(Clone, Copy)]
 pub struct PlatformClient {
     address: SocketAddr,
-    /// `None` before the first exchange, during an exchange and after a failed one.
-    connection: Option<HttpConnection>,
 }
 
 impl PlatformClient {
-    /// Creates a client of the agent at an address. The connection is opened by the first request.
+    /// Creates a client of the agent at an address.
     pub fn new(address: SocketAddr) -> PlatformClient {
-        PlatformClient {
-            address,
-            connection: None,
-        }
-    }
-
-    /// Creates a client of the agent at the same address that does not share this connection.
-    pub fn clone_without_connection(&self) -> PlatformClient {
-        PlatformClient::new(self.address)
+        PlatformClient { address }
     }
 
-    /// Sets the address of the agent. The connection to the old address is closed.
+    /// Sets the address of the agent for later requests.
     pub fn set_address(&mut self, address: SocketAddr) {
         self.address = address;
-        self.connection = None;
     }
 
     /// Sends one request and reads the whole response. Fails if that takes longer than `timeout`. Dropping the future
-    /// closes the connection, so that the rest of a response is never read as the response to a later request.
+    /// closes the connection.
     pub async fn request(
-        &mut self,
+        &self,
         method: Method,
         path: &str,
         body: Bytes,
         timeout: Duration,
     ) -> Result<PlatformResponse, PlatformError> {
-        let previous = self.connection.take();
-        let address = self.address;
         let exchange = async {
-            let mut connection = reuse_or_connect(address, previous).await?;
-            let response = exchange(&mut connection, address, method, path, body).await?;
-            Ok((response, connection))
+            let connection = connect(self.address).await?;
+            exchange(connection, self.address, method, path, body).await
         };
-        let (response, connection) = tokio::time::timeout(timeout, exchange)
+        tokio::time::timeout(timeout, exchange)
             .await
-            .map_err(|_| PlatformError::Timeout)??;
-        self.connection = Some(connection);
-        Ok(response)
+            .map_err(|_| PlatformError::Timeout)?
     }
 }
 
-/// Returns the previous connection if it can take a request, and otherwise opens a new one.
-async fn reuse_or_connect(
-    address: SocketAddr,
-    previous: Option<HttpConnection>,
-) -> Result<HttpConnection, PlatformError> {
-    if let Some(mut connection) = previous {
-        if connection.ready().await {
-            return Ok(connection);
-        }
-    }
+async fn connect(address: SocketAddr) -> Result<HttpConnection, PlatformError> {
     let stream = TcpStream::connect(address)
         .await
         .map_err(PlatformError::Connect)?;
@@ -150,7 +127,7 @@
 
 /// Sends one request and reads the whole response.
 async fn exchange(
-    connection: &mut HttpConnection,
+    connection: HttpConnection,
     address: SocketAddr,
     method: Method,
     path: &str,
@@ -159,12 +136,11 @@
     let request = Request::builder()
         .method(method)
         .uri(path)
-        .header("host", address.to_string())
+        .header(HOST, address.to_string())
         .body(Full::new(body))
         .map_err(|e| PlatformError::Connect(io::Error::other(e)))?;
-    let response = connection
-        .sender
-        .send_request(request)
+    let (response, _connection) = connection
+        .send(request)
         .await
         .map_err(PlatformError::Send)?;
     let status = response.status();
--- a/crates/forwarder/src/startup.rs
+++ b/crates/forwarder/src/startup.rs
@@ -181,7 +181,7 @@
         Arc::new(EndpointContext {
             config: self.startup.settings.connections.clone(),
             names: self.names(),
-            idle_permits: Arc::new(Semaphore::new(self.startup.max_idle_connections)),
+            body_permits: Arc::new(Semaphore::new(self.startup.max_body_connections)),
             dispatcher: self.dispatcher.clone(),
             log: self.log.clone(),
         })
--- a/crates/forwarder/src/startup_config.rs
+++ b/crates/forwarder/src/startup_config.rs
@@ -40,8 +40,9 @@
     pub max_client_connections: usize,
     /// Memory of the client connections.
     pub client_memory: ClientMemory,
-    /// Upper bound on the number of idle connections to endpoints, in addition to connections that carry attempts.
-    pub max_idle_connections: usize,
+    /// Upper bound on the number of connections to endpoints whose response body is still read after the end of their
+    /// attempt.
+    pub max_body_connections: usize,
     /// Addresses for gossip with the other forwarders.
     pub gossip_peers: GossipPeers,
     /// An endpoint list from before the start.
@@ -98,7 +99,7 @@
     journal_bytes: u64,
     max_client_connections: usize,
     client_memory: ClientMemory,
-    max_idle_connections: usize,
+    max_body_connections: usize,
     settings: ForwarderSettings,
 }
 
@@ -110,7 +111,7 @@
             journal_bytes: self.journal_bytes,
             max_client_connections: self.max_client_connections,
             client_memory: self.client_memory,
-            max_idle_connections: self.max_idle_connections,
+            max_body_connections: self.max_body_connections,
             settings: self.settings.clone(),
         }
     }
@@ -163,7 +164,7 @@
             journal_bytes,
             max_client_connections: allocation.client_connections,
             client_memory: ClientMemory::new(memory_bytes, allocation.client_connections),
-            max_idle_connections: allocation.idle_endpoint_connections,
+            max_body_connections: allocation.body_connections,
             gossip_peers,
             cached_list: file.cached_list,
             settings,
--- a/crates/forwarder/src/startup_config/descriptors.rs
+++ b/crates/forwarder/src/startup_config/descriptors.rs
@@ -9,9 +9,9 @@
 
 /// At most one in this many of the descriptors that are not reserved is for attempts in flight.
 const ATTEMPTS_DIVISOR: usize = 2;
-/// One in this many of the descriptors that are then left is for idle connections to endpoints. The others are for
-/// clients.
-const IDLE_ENDPOINT_CONNECTIONS_DIVISOR: usize = 3;
+/// One in this many of the descriptors that are then left is for connections to endpoints whose response body is still
+/// read after the end of their attempt. The others are for clients.
+const BODY_CONNECTIONS_DIVISOR: usize = 3;
 
 /// Number of descriptors for each use.
 pub struct DescriptorAllocation {
@@ -19,8 +19,8 @@
     pub concurrency_limit: u32,
     /// Descriptors for client connections.
     pub client_connections: usize,
-    /// Descriptors for idle connections to endpoints.
-    pub idle_endpoint_connections: usize,
+    /// Descriptors for connections to endpoints whose response body is still read after the end of their attempt.
+    pub body_connections: usize,
 }
 
 impl DescriptorAllocation {
@@ -29,11 +29,11 @@
         let available = descriptors - RESERVED_DESCRIPTORS;
         let concurrency_limit = concurrency_limit.min((available / ATTEMPTS_DIVISOR) as u32);
         let remaining = available - concurrency_limit as usize;
-        let idle_endpoint_connections = remaining / IDLE_ENDPOINT_CONNECTIONS_DIVISOR;
+        let body_connections = remaining / BODY_CONNECTIONS_DIVISOR;
         DescriptorAllocation {
             concurrency_limit,
-            client_connections: remaining - idle_endpoint_connections,
-            idle_endpoint_connections,
+            client_connections: remaining - body_connections,
+            body_connections,
         }
     }
 }
--- a/crates/forwarder/src/startup_config/golden_tests.rs
+++ b/crates/forwarder/src/startup_config/golden_tests.rs
@@ -25,7 +25,7 @@
         "seed": format!("{:016x}", startup.seed),
         "disk bytes": startup.journal_bytes,
         "client sockets": startup.max_client_connections,
-        "idle sockets": startup.max_idle_connections,
+        "idle sockets": startup.max_body_connections,
         "gossip address": gossip.listen,
         "gossip peers": gossip.addresses,
         "gossip address of all": gossip.broadcast,
--- a/crates/forwarder/src/startup_config/tests.rs
+++ b/crates/forwarder/src/startup_config/tests.rs
@@ -104,7 +104,7 @@
                 let attempts = startup.settings.config.concurrency_limit as usize;
                 let allocated = RESERVED_DESCRIPTORS
                     + attempts
-                    + startup.max_idle_connections
+                    + startup.max_body_connections
                     + startup.max_client_connections;
                 allocated <= usize::from(descriptors)
                     && attempts >= 1
--- a/crates/forwarder/tests/repeated_responses.rs
+++ b/crates/forwarder/tests/repeated_responses.rs
@@ -100,7 +100,6 @@
 
 /// Guards against a message that was lost because a copy of the 200 response to an earlier message was read as its response.
 #[test]
-#[ignore = "known failure, see KNOWN-RED.txt"]
 fn copied_200_does_not_deliver_the_next_message() {
     for effect in ["free", "guarded", "single_shot"] {
         for copy_delay_ms in [0, 1, 5, 30] {
@@ -150,7 +149,6 @@
 /// Guards against a message that was lost because each response on a connection was read as the response to the next request,
 /// after a copy had come at an earlier one.
 #[test]
-#[ignore = "known failure, see KNOWN-RED.txt"]
 fn copied_200_does_not_shift_the_responses_of_later_messages() {
     let third_called = Arc::new(AtomicUsize::new(0));
     let third_called_by_server = third_called.clone();
@@ -193,7 +191,6 @@
 
 /// Guards against a message that ran twice because a copy of an earlier 503 response was taken as proof that it had not run.
 #[test]
-#[ignore = "known failure, see KNOWN-RED.txt"]
 fn copied_503_does_not_prove_that_the_next_message_has_not_run() {
     let (address, endpoint) =
         RepeatingEndpoint::start(0, |id, earlier_calls| match (id, earlier_calls) {
@@ -216,7 +213,6 @@
 
 /// Guards against a message that was lost because a copy of an earlier 410 response said that nothing was owed any more.
 #[test]
-#[ignore = "known failure, see KNOWN-RED.txt"]
 fn copied_410_does_not_end_the_next_message() {
     let (address, endpoint) = RepeatingEndpoint::start(0, |id, _| match id {
         "first" => OVER,
@@ -236,7 +232,6 @@
 
 /// Guards against a completion report that was lost because a copy of an earlier acknowledgement was read as its response.
 #[test]
-#[ignore = "known failure, see KNOWN-RED.txt"]
 fn copied_acknowledgement_does_not_acknowledge_the_next_report() {
     let (endpoint, _) = endpoint_responding_with(REJECTED);
     let acknowledged: Arc<Mutex<String>> = Arc::default();
@@ -285,7 +280,6 @@
 /// Guards against a message for an endpoint that had left the list, after a copy of an earlier list was read as the response to
 /// a later watch.
 #[test]
-#[ignore = "known failure, see KNOWN-RED.txt"]
 fn copied_list_does_not_bring_back_a_removed_endpoint() {
     let (removed, removed_log) = endpoint_responding_with(DELIVERED);
     let (listed, _) = endpoint_responding_with(DELIVERED);
