Log: each transition of a message, with the client's id and what the result rests on

The incident of repeated responses left two log lines for each forwarder: nothing told which response had ended a message. Now logged at info: a message accepted, refused (with the answer), withdrawn, completed, ended without delivery; the end of each attempt and health check with its basis (the response's status, an invalid response's status line, or the error and the stage that the request had reached); a completion report acknowledged; a list updated. The message and the attempt identify the connection, which carries no other request.

log_tells_each_transition_of_a_message fails without the lines. applies_long_lists_and_logs_unreadable_lists_once counts one more line for each of its four updates. The lines pass the bounded queue of the logger, which counts what it drops.

--- a/crates/forwarder/src/completion_reports.rs
+++ b/crates/forwarder/src/completion_reports.rs
@@ -151,8 +151,11 @@
                 "completion reports acknowledged by the platform again"
             );
         }
-        let acknowledged = queue.unacknowledged.drain(..batch_len);
-        let serials = acknowledged.map(|report| report.serial).collect();
+        let mut serials = Vec::with_capacity(batch_len);
+        for report in queue.unacknowledged.drain(..batch_len) {
+            info!(self.log, "completion report acknowledged"; "message" => report.request_id);
+            serials.push(report.serial);
+        }
         self.notify_acknowledged(serials).await
     }
 
--- a/crates/forwarder/src/dispatcher.rs
+++ b/crates/forwarder/src/dispatcher.rs
@@ -12,6 +12,7 @@
 mod endpoint_list;
 mod endpoints;
 mod log_events;
+mod message_log;
 mod recovery;
 mod submissions;
 mod timers;
--- a/crates/forwarder/src/dispatcher/completion.rs
+++ b/crates/forwarder/src/dispatcher/completion.rs
@@ -1,6 +1,6 @@
 //! Ends messages, and keeps track of the completion reports that pass final answers to the platform.
 
-use super::Dispatcher;
+use super::{message_log, Dispatcher};
 use crate::commands::PendingCompletionReport;
 use crate::protocol::Ending;
 use opalpulley::{Event, MessageId};
@@ -14,6 +14,7 @@
             return;
         };
         message.ending_decided = true;
+        message_log::ended(&self.log, message, ending);
         let is_ordered = message.submitted.order_key.is_some();
         let report = PendingCompletionReport {
             serial: message.serial,
--- a/crates/forwarder/src/dispatcher/submissions.rs
+++ b/crates/forwarder/src/dispatcher/submissions.rs
@@ -1,7 +1,7 @@
 //! Accepts or rejects the messages that clients submit.
 
 use super::unfinished_messages::UnfinishedMessage;
-use super::{Decision, Dispatcher};
+use super::{message_log, Decision, Dispatcher};
 use crate::clock::micros;
 use crate::commands::{SubmissionAnswer, SubmissionRequest};
 use crate::journal::StoredMessage;
@@ -9,7 +9,7 @@
 use opalpulley::{
     Action, AttemptHistory, Event, MessageId, Micros, OrderKey, Submission, TenantId,
 };
-use slog::{debug, error};
+use slog::error;
 use tokio::sync::oneshot;
 
 /// The tenant of messages without one. No deployment configures this id, so that the core finds no quota for it.
@@ -29,6 +29,9 @@
             return;
         }
         if let Some(answer) = self.answer_without_acceptance(&submitted) {
+            if answer != SubmissionAnswer::Accepted {
+                message_log::refused(&self.log, &submitted, answer);
+            }
             send_answer(answer_sender, answer);
             return;
         }
@@ -78,6 +81,7 @@
         // The configured capacity is checked before the core gets the submission, as in the simulator.
         let is_full = self.unfinished_messages.len() >= self.config.max_messages as usize;
         if is_full || !self.journal.has_space_for(&stored) {
+            message_log::refused(&self.log, &submitted, SubmissionAnswer::ResourceExhausted);
             return None;
         }
         let serial = match self.journal.record_message(stored) {
@@ -125,6 +129,9 @@
         rejection: SubmissionAnswer,
         answer_sender: oneshot::Sender<SubmissionAnswer>,
     ) {
+        if let Some(message) = self.unfinished_messages.get(id) {
+            message_log::refused(&self.log, &message.submitted, rejection);
+        }
         self.end_without_report(id);
         if is_ordered {
             let acknowledged = Event::FinalAnswerAcknowledged { id };
@@ -139,8 +146,16 @@
         id: MessageId,
         answer_sender: oneshot::Sender<SubmissionAnswer>,
     ) {
-        if answer_sender.send(SubmissionAnswer::Accepted).is_err() {
-            debug!(self.log, "message withdrawn: the client disconnected before the answer"; "message" => id.0);
+        let is_answered = answer_sender.send(SubmissionAnswer::Accepted).is_ok();
+        if let Some(message) = self.unfinished_messages.get(id) {
+            if is_answered {
+                let time_left = message.deadline.saturating_sub(self.clock.now());
+                message_log::accepted(&self.log, message, time_left);
+            } else {
+                message_log::withdrawn(&self.log, message);
+            }
+        }
+        if !is_answered {
             self.end_without_report(id);
             self.handle_event(Event::MessageWithdrawn { id });
         }
--- a/crates/forwarder/src/endpoint_list/watch.rs
+++ b/crates/forwarder/src/endpoint_list/watch.rs
@@ -195,10 +195,11 @@
             info!(self.log, "cached endpoint list replaced by the list from discovery";
                 "revision" => self.table.revision);
         }
-        match update {
-            Some(update) => self.send_update(update).await,
-            None => Ok(()),
-        }
+        let Some(update) = update else {
+            return Ok(());
+        };
+        info!(self.log, "endpoint list updated"; "revision" => self.table.revision);
+        self.send_update(update).await
     }
 
     /// Applies the result of a poll that timed out, unless a later revision is known. The watch continues from the
--- a/crates/forwarder/src/endpoint_list/watch/tests.rs
+++ b/crates/forwarder/src/endpoint_list/watch/tests.rs
@@ -300,12 +300,13 @@
     let line_count = std::sync::Arc::default();
     let log = Logger::root(LineCounter(std::sync::Arc::clone(&line_count)), slog::o!());
     let mut fixture = TestFixture::start(address, EndpointTable::default(), false, log);
-    for expected in [
+    let expected_lengths = [
         MEMBER_COUNT,
         MEMBER_COUNT / 2,
         MEMBER_COUNT / 2,
         MEMBER_COUNT,
-    ] {
+    ];
+    for expected in expected_lengths {
         let update = tokio::time::timeout(Duration::from_secs(20), fixture.events.recv())
             .await
             .expect("an update arrives within 20 s");
@@ -317,6 +318,10 @@
         };
         assert_eq!(entries.len(), expected as usize);
     }
-    // One line for the failures and one for the recovery.
-    assert_eq!(line_count.load(std::sync::atomic::Ordering::Relaxed), 2);
+    // One line for the failures, one for the recovery, and one for each update.
+    let expected_lines = 2 + expected_lengths.len();
+    assert_eq!(
+        line_count.load(std::sync::atomic::Ordering::Relaxed),
+        expected_lines
+    );
 }
--- a/crates/forwarder/src/endpoints/actor.rs
+++ b/crates/forwarder/src/endpoints/actor.rs
@@ -104,7 +104,14 @@
             id: attempt.id,
             attempt_index: attempt.attempt_index,
         };
-        self.start_request(purpose, request, attempt.timeout, attempt.send_by);
+        let request_id = Some(attempt.request_id);
+        self.start_request(
+            purpose,
+            request_id,
+            request,
+            attempt.timeout,
+            attempt.send_by,
+        );
     }
 
     fn start_health_check(&mut self) {
@@ -112,12 +119,19 @@
         let connect_timeout = Duration::from_micros(self.context.config.connect_timeout);
         let timeout = connect_timeout.mul_f64(HEALTH_CHECK_TIMEOUT_FACTOR);
         let send_deadline = Instant::now() + timeout;
-        self.start_request(RequestPurpose::HealthCheck, request, timeout, send_deadline);
+        self.start_request(
+            RequestPurpose::HealthCheck,
+            None,
+            request,
+            timeout,
+            send_deadline,
+        );
     }
 
     fn start_request(
         &mut self,
         purpose: RequestPurpose,
+        request_id: Option<String>,
         request: Result<EndpointRequest, hyper::http::Error>,
         timeout: Duration,
         send_deadline: Instant,
@@ -127,6 +141,7 @@
         let attempt = Attempt {
             endpoint: self.id,
             purpose,
+            request_id,
             started_at,
             deadlines: ExchangeDeadlines {
                 send_deadline,
--- a/crates/forwarder/src/endpoints/attempt.rs
+++ b/crates/forwarder/src/endpoints/attempt.rs
@@ -5,11 +5,13 @@
 use super::response_body::{read_body, BodyEnd};
 use super::EndpointContext;
 use crate::clock::micros;
+use crate::http_connection::UsedConnection;
 use crate::protocol::{self, EndpointRequest, EndpointResponse};
 use hyper::body::Incoming;
-use hyper::Response;
+use hyper::{Response, StatusCode};
 use opalpulley::{EndpointId, Event, MessageId, Outcome};
-use slog::{debug, error};
+use slog::{error, info};
+use std::fmt;
 use std::future::{ready, Future};
 use std::pin::pin;
 use std::sync::Arc;
@@ -87,12 +89,35 @@
     }
 }
 
+/// What the result of an attempt or health check rests on. Written to the log.
+#[derive(Clone, Copy)]
+enum ResultBasis {
+    /// The response, with this status.
+    Response(StatusCode),
+    /// The status line of a response, whose rest was missing or invalid.
+    StatusLine,
+    /// The request ended without a response.
+    Error(AttemptError),
+}
+
+impl fmt::Display for ResultBasis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ResultBasis::Response(status) => write!(f, "response {}", status.as_u16()),
+            ResultBasis::StatusLine => write!(f, "status line of an invalid response"),
+            ResultBasis::Error(error) => write!(f, "{error}"),
+        }
+    }
+}
+
 /// An attempt or health check, run by a task of its own.
 pub struct Attempt {
     /// The endpoint that receives the request.
     pub endpoint: EndpointId,
     /// The purpose of the request.
     pub purpose: RequestPurpose,
+    /// The client's id of the message. `None` for a health check.
+    pub request_id: Option<String>,
     /// Time at which the request was started.
     pub started_at: Instant,
     /// The deadlines of the request.
@@ -121,8 +146,8 @@
         match result {
             Ok(ExchangeResult::Response {
                 response,
-                connection: _connection,
-            }) => self.finish_with_response(response).await,
+                connection,
+            }) => self.finish_with_response(response, connection).await,
             Ok(ExchangeResult::DeliveredStatusOnly) => self.report_delivered().await,
             Err(error) => self.report_error(error).await,
         }
@@ -134,9 +159,14 @@
     }
 
     /// Reports the result of a response whose head was received, and reads its body.
-    async fn finish_with_response(&self, response: Response<Incoming>) {
+    async fn finish_with_response(
+        &self,
+        response: Response<Incoming>,
+        _connection: UsedConnection,
+    ) {
         let names = &self.context.names;
-        let decoded = EndpointResponse::decode(response.status(), response.headers(), names);
+        let status = response.status();
+        let decoded = EndpointResponse::decode(status, response.headers(), names);
         let mut body = pin!(read_body(response.into_body()));
         let early_body_end = tokio::select! {
             biased;
@@ -150,7 +180,7 @@
                 None => body.await,
             }
         };
-        self.report_response(decoded, rest_of_body).await;
+        self.report_response(status, decoded, rest_of_body).await;
     }
 
     /// Reads the response body to its end, and reports the outcome as soon as it is certain. If the message may have taken
@@ -159,6 +189,7 @@
     /// effect.
     async fn report_response(
         &self,
+        status: StatusCode,
         response: EndpointResponse,
         rest_of_body: impl Future<Output = BodyEnd>,
     ) {
@@ -167,14 +198,15 @@
             completed: response.completed,
             load_report: response.load_report,
         };
+        let basis = ResultBasis::Response(status);
         if result.outcome.may_have_taken_effect() {
-            self.report(result).await;
+            self.report(result, basis).await;
             if let Ok(_permit) = self.context.body_permits.try_acquire() {
                 rest_of_body.await;
             }
         } else {
             let body_end = rest_of_body.await;
-            self.report(result.confirmed_by(body_end)).await;
+            self.report(result.confirmed_by(body_end), basis).await;
         }
     }
 
@@ -204,16 +236,30 @@
             completed: true,
             load_report: Vec::new(),
         };
-        self.report(result).await;
+        self.report(result, ResultBasis::StatusLine).await;
     }
 
     async fn report_error(&self, error: AttemptError) {
-        debug!(self.context.log, "attempt or health check failed"; "endpoint" => %protocol::address(self.endpoint), "problem" => %error);
-        self.report(AttemptResult::without_response(error.into()))
-            .await;
+        let result = AttemptResult::without_response(error.into());
+        self.report(result, ResultBasis::Error(error)).await;
     }
 
-    async fn report(&self, result: AttemptResult) {
+    /// Logs the result and reports it to the dispatcher. The message and the attempt identify the connection too, because
+    /// it carries no other request.
+    async fn report(&self, result: AttemptResult, basis: ResultBasis) {
+        let log = &self.context.log;
+        let endpoint = protocol::address(self.endpoint);
+        let elapsed_us = micros(self.started_at.elapsed());
+        match self.purpose {
+            RequestPurpose::Attempt { attempt_index, .. } => {
+                info!(log, "attempt ended"; "message" => &self.request_id, "attempt" => attempt_index,
+                "endpoint" => %endpoint, "basis" => %basis, "outcome" => ?result.outcome, "elapsed_us" => elapsed_us)
+            }
+            RequestPurpose::HealthCheck => {
+                info!(log, "health check ended"; "endpoint" => %endpoint,
+                "basis" => %basis, "outcome" => ?result.outcome, "elapsed_us" => elapsed_us)
+            }
+        }
         let event = request_ended_event(self.endpoint, self.purpose, result, self.started_at);
         self.context.send_event(event).await;
     }
--- a/crates/forwarder/tests/program/main.rs
+++ b/crates/forwarder/tests/program/main.rs
@@ -7,5 +7,6 @@
 mod connections;
 mod endpoint_list;
 mod memory;
+mod message_log;
 mod restarts;
 mod submissions;
