--- a/crates/forwarder/src/dispatcher/attempts.rs
+++ b/crates/forwarder/src/dispatcher/attempts.rs
@@ -1,7 +1,7 @@
 //! Starts, cancels and records attempts. An attempt is journalled before it is sent, and again once its outcome is known.
 
 use super::unfinished_messages::{OutstandingAttempt, UnfinishedMessage};
-use super::{message_log, Dispatcher};
+use super::Dispatcher;
 use crate::commands::{AttemptRequest, EndpointCommand};
 use opalpulley::{EndpointId, Event, MessageId, Micros, Outcome};
 use slog::error;
@@ -138,7 +138,6 @@
             Ok(())
         } else if message_completed {
             message.ending_decided = true;
-            message_log::completed(&self.log, message, attempt_index);
             self.journal.record_message_end(serial)
         } else if outcome == Outcome::WithdrawnBeforeSend {
             message.attempts_started = u32::from(attempt_index);
--- a/crates/forwarder/src/dispatcher/message_log.rs
+++ b/crates/forwarder/src/dispatcher/message_log.rs
@@ -1,5 +1,6 @@
 //! Log lines of the state transitions of messages. Each names the message by the client's id, by which the logs of clients and
-//! endpoints can be joined. The line of an attempt's end is written by the endpoint's actor, which knows its response.
+//! endpoints can be joined. The end of an attempt, which may complete its message, is logged by the endpoint's actor: it
+//! knows the response.
 
 use super::unfinished_messages::UnfinishedMessage;
 use crate::commands::SubmissionAnswer;
@@ -19,11 +20,6 @@
         "destination" => submitted.destination.0, "answer" => ?answer);
 }
 
-/// Logs that a message ended because an endpoint's response completed it.
-pub fn completed(log: &Logger, message: &UnfinishedMessage, attempt_index: u8) {
-    info!(log, "message completed"; "message" => &message.submitted.request_id, "attempt" => attempt_index);
-}
-
 /// Logs that a message ended without delivery, and that its completion report is pending.
 pub fn ended(log: &Logger, message: &UnfinishedMessage, ending: Ending) {
     info!(log, "message ended without delivery"; "message" => &message.submitted.request_id,
--- a/crates/forwarder/src/endpoints/attempt.rs
+++ b/crates/forwarder/src/endpoints/attempt.rs
@@ -253,11 +253,12 @@
         match self.purpose {
             RequestPurpose::Attempt { attempt_index, .. } => {
                 info!(log, "attempt ended"; "message" => &self.request_id, "attempt" => attempt_index,
-                "endpoint" => %endpoint, "basis" => %basis, "outcome" => ?result.outcome, "elapsed_us" => elapsed_us)
+                    "endpoint" => %endpoint, "basis" => %basis, "outcome" => ?result.outcome,
+                    "completed" => result.completed, "elapsed_us" => elapsed_us);
             }
             RequestPurpose::HealthCheck => {
-                info!(log, "health check ended"; "endpoint" => %endpoint,
-                "basis" => %basis, "outcome" => ?result.outcome, "elapsed_us" => elapsed_us)
+                info!(log, "health check ended"; "endpoint" => %endpoint, "basis" => %basis,
+                    "outcome" => ?result.outcome, "elapsed_us" => elapsed_us);
             }
         }
         let event = request_ended_event(self.endpoint, self.purpose, result, self.started_at);
