--- a/src/policy/connection_reuse.rs
+++ b/src/policy/connection_reuse.rs
@@ -3,6 +3,9 @@
 //! If each forwarder of a fleet keeps a connection that it seldom uses, the connections can fill an
 //! endpoint's connection table. Idle connections are therefore closed while more than 0.2% of
 //! attempts fail to get a connection.
+//!
+//! This applies where each outcome names its message, as in the simulator. On sockets a response
+//! names nothing, and no connection is used again: see `docs/design/proof-of-responses.md`.
 
 use crate::model::Outcome;
 
