Start: nothing is sent by a list that discovery has not confirmed, however long it is down

Cause: the cached list was withheld for one second at most, and put in force then or after a failed poll. The log of the case shows "cached endpoint list used" a second after the start and the calls right behind it. Silence and failed polls prove nothing of an address.

Messages are accepted at once and wait. While no list is confirmed it is requested every 500 ms, beside one request that stays open for 2 s, so that they go soon after an outage. Policy module cached_list is now list_confirmation, and holds the proof.

Tests: the three restarts of outage_at_start.rs (SIGTERM and SIGKILL, pushed and polled, silent, rejecting, unreadable) and repeats_the_first_fetch_while_the_agent_is_silent fail on the code before; accepts_the_response_to_a_first_fetch_ that_was_repeated held there and guards the new repetition. Two tests required the fault and are replaced by stricter ones: restart_uses_the_cached_list_while_discovery_is_silent by outage_at_start.rs, and sends_nothing_by_an_unconfirmed_list_before_the_wait_is_over by ..._until_discovery_sends_one.

--- a/crates/forwarder/src/dispatcher.rs
+++ b/crates/forwarder/src/dispatcher.rs
@@ -27,10 +27,7 @@
 use crate::journal::{Journal, JournalError, StoredMessage};
 use endpoint_list::ListedEndpoint;
 use endpoints::EndpointActors;
-use opalpulley::cached_list::CONFIRMATION_TIMEOUT;
-use opalpulley::{
-    Action, Config, DestinationId, EndpointEntry, EndpointId, Event, Forwarder, MessageId, Micros,
-};
+use opalpulley::{Action, Config, DestinationId, EndpointId, Event, Forwarder, MessageId, Micros};
 use slog::{error, Logger};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::future::Future;
@@ -43,9 +40,9 @@
 use tokio::time::Instant;
 use unfinished_messages::UnfinishedMessages;
 
-/// Time after the start for which the dispatcher waits for an endpoint list from discovery. Afterwards the cached list is
-/// used, and the messages of a previous run are submitted to the core even if no list is known.
-const FIRST_LIST_TIMEOUT: Duration = Duration::from_micros(CONFIRMATION_TIMEOUT);
+/// Time after the start for which the messages of a previous run wait for an endpoint list if none is known. Afterwards
+/// clients may submit messages even without a list.
+const FIRST_LIST_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The actor that owns the decision core. It runs as one task, and the other actors reach it through its mailboxes.
 pub struct Dispatcher {
@@ -74,9 +71,6 @@
     timers: Timers,
     /// Events caused by the execution of actions, in the order in which the core gets them. Empty between two commands.
     queued_events: VecDeque<Event>,
-    /// A cached list that is withheld from the core until discovery has sent a list, a poll has failed or
-    /// [`FIRST_LIST_TIMEOUT`] has passed.
-    unconfirmed_list: Option<Vec<EndpointEntry>>,
     /// The messages of a previous run, until an endpoint list is known or [`FIRST_LIST_TIMEOUT`] has passed.
     recovered_messages: Option<Vec<StoredMessage>>,
     /// The completion reports that the platform has not acknowledged, by the serial number of the message. The value is
@@ -146,7 +140,6 @@
             listed_endpoints: BTreeMap::new(),
             timers: Timers::default(),
             queued_events: VecDeque::new(),
-            unconfirmed_list: None,
             recovered_messages: None,
             pending_reports: BTreeMap::new(),
         }
@@ -181,8 +174,8 @@
                 () = sleep_until(next_idle_check_at) => {
                     self.endpoint_actors.stop_idle(self.clock.now());
                 }
-                () = tokio::time::sleep_until(first_list_deadline), if self.awaits_first_list() => {
-                    self.handle_first_list_timeout();
+                () = tokio::time::sleep_until(first_list_deadline), if self.recovered_messages.is_some() => {
+                    self.submit_recovered_messages();
                 }
                 Some(submission) = submissions.recv() => self.handle_submission(submission),
             }
--- a/crates/forwarder/src/dispatcher/endpoint_list.rs
+++ b/crates/forwarder/src/dispatcher/endpoint_list.rs
@@ -1,12 +1,11 @@
-//! The dispatcher's table of the endpoints in the latest list, and the choice between the cached list and that of
-//! discovery after a start.
+//! The dispatcher's table of the endpoints in the latest list. A cached list is withheld from the core after a start, until
+//! discovery has confirmed it.
 
 use super::Dispatcher;
 use opalpulley::{
     DestinationId, EndpointEntry, EndpointId, EndpointKindId, EndpointListUpdate, EndpointStatus,
     Event, Micros, ZoneId,
 };
-use slog::warn;
 use std::collections::btree_map::Entry;
 
 /// The entry of an endpoint in the latest list without the endpoint's id, which is the key in the dispatcher's table. The
@@ -50,58 +49,29 @@
 }
 
 impl Dispatcher {
-    /// Withholds the list of an earlier process from the core until discovery has responded. Clients may submit messages to
-    /// its destinations meanwhile, but nothing is sent to its endpoints.
-    pub fn withhold_cached_list(&mut self, entries: Vec<EndpointEntry>) {
+    /// Withholds the list of an earlier process from the core, which gets a list only from discovery. Clients may submit
+    /// messages to the destinations of the withheld list meanwhile, but nothing is sent to its endpoints.
+    pub fn withhold_cached_list(&mut self, entries: &[EndpointEntry]) {
         // The core schedules its first poll on its first event.
         let empty_list = EndpointListUpdate::Cached(Vec::new());
         self.handle_event(Event::EndpointListUpdated(empty_list));
-        if entries.is_empty() {
-            return;
-        }
-        self.add_known_destinations(&entries);
-        self.unconfirmed_list = Some(entries);
+        self.add_known_destinations(entries);
     }
 
-    /// Applies an update from discovery to the table of endpoints and passes it to the core. A failed update puts the
-    /// cached list in force, if it is still held. Then submits the messages of a previous run if they still wait for a
-    /// list; a failed update ends the wait too.
+    /// Applies an update from discovery to the table of endpoints and passes it to the core. Then submits the messages of a
+    /// previous run if they still wait for a list; a failed update ends the wait too.
     pub(super) fn update_endpoint_list(&mut self, update: EndpointListUpdate) {
         match &update {
             EndpointListUpdate::Complete(entries) | EndpointListUpdate::Cached(entries) => {
-                self.unconfirmed_list = None;
                 self.replace_list(entries);
             }
             EndpointListUpdate::Changes(entries) => self.apply_list_changes(entries),
-            EndpointListUpdate::Failed => self.use_cached_list(),
+            EndpointListUpdate::Failed => {}
         }
         self.handle_event(Event::EndpointListUpdated(update));
         self.submit_recovered_messages();
     }
 
-    /// Returns whether the dispatcher waits for the first list of discovery.
-    pub(super) fn awaits_first_list(&self) -> bool {
-        self.unconfirmed_list.is_some() || self.recovered_messages.is_some()
-    }
-
-    /// Continues without a list from discovery.
-    pub(super) fn handle_first_list_timeout(&mut self) {
-        self.use_cached_list();
-        self.submit_recovered_messages();
-    }
-
-    /// Puts the cached list in force, if it is still held.
-    fn use_cached_list(&mut self) {
-        let Some(entries) = self.unconfirmed_list.take() else {
-            return;
-        };
-        warn!(self.log, "cached endpoint list used: discovery has not sent a list";
-            "endpoints" => entries.len());
-        self.replace_list(&entries);
-        let cached_list = EndpointListUpdate::Cached(entries);
-        self.handle_event(Event::EndpointListUpdated(cached_list));
-    }
-
     fn add_known_destinations(&mut self, entries: &[EndpointEntry]) {
         let mut destinations = entries.iter().map(|entry| entry.destination).collect();
         self.known_destinations.append(&mut destinations);
--- a/crates/forwarder/src/dispatcher/recovery.rs
+++ b/crates/forwarder/src/dispatcher/recovery.rs
@@ -14,12 +14,12 @@
 use std::sync::atomic::Ordering;
 
 impl Dispatcher {
-    /// Restores the messages of a previous run. Without any endpoint list they wait for one, because the core could not
-    /// send them to any endpoint. With a cached list they are submitted to the core at once, which sends them as soon as a
-    /// list is in force.
+    /// Restores the messages of a previous run. If no endpoint list is known, they wait for one, for at most
+    /// `FIRST_LIST_TIMEOUT`. With a list, even one that is withheld, they are submitted to the core at once, which sends
+    /// them as soon as discovery has confirmed a list.
     pub fn restore_previous_run(&mut self, messages: Vec<StoredMessage>) {
         self.recovered_messages = Some(messages);
-        if self.unconfirmed_list.is_some() || !self.listed_endpoints.is_empty() {
+        if !self.known_destinations.is_empty() {
             self.submit_recovered_messages();
         }
     }
--- a/crates/forwarder/src/endpoint_list/table.rs
+++ b/crates/forwarder/src/endpoint_list/table.rs
@@ -42,6 +42,11 @@
         self.is_unconfirmed
     }
 
+    /// Returns whether the agent at its present address has sent a document to this process.
+    pub fn is_confirmed(&self) -> bool {
+        self.revision.is_some() && !self.is_unconfirmed
+    }
+
     /// Applies a document and returns the update for the core. Returns `None` if the document is older than the known
     /// list or changes nothing. The update that confirms a list is always the complete list.
     pub fn apply(
--- a/crates/forwarder/src/endpoint_list/watch.rs
+++ b/crates/forwarder/src/endpoint_list/watch.rs
@@ -24,10 +24,6 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 
-/// Upper bound on the duration of a poll where discovery must be polled, including the time that it continues in the
-/// background after its timeout. It is longer than any poll that is made meanwhile.
-const LATE_POLL_TIMEOUT: Duration = Duration::from_secs(7);
-
 /// Delay after a failed poll, unless the poll timed out. It is shorter than the time after which a silent watch is
 /// opened again.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
@@ -112,7 +108,7 @@
         Ok(())
     }
 
-    /// Makes one poll. Where discovery must be polled, a poll that times out continues in the background.
+    /// Makes one poll. A poll that times out may continue in the background.
     async fn poll(
         &mut self,
         state: &mut WatchState,
@@ -128,10 +124,8 @@
             tokio::select! {
                 result = &mut poll => return Ok(PollOutcome::Finished(result)),
                 () = &mut timeout => {
-                    if self.must_be_polled {
-                        state.late_poll = Some(poll);
-                    } else {
-                        state.late_poll = None;
+                    if request.continues_in_background() {
+                        state.keep_late_poll(poll, self.must_be_polled);
                     }
                     return Ok(PollOutcome::Finished(Err(PlatformError::Timeout)));
                 }
@@ -142,7 +136,7 @@
                 }
                 result = state.late_result() => self.apply_late_result(state, result).await?,
             }
-            if is_superseded(&request, state) {
+            if self.is_superseded(&request, state) {
                 return Ok(PollOutcome::Superseded);
             }
         }
@@ -152,7 +146,7 @@
     fn next_request(&self, state: &mut WatchState) -> PollRequest {
         let timeouts = PollTimeouts::new(self.must_be_polled);
         let Some(revision) = self.table.revision.filter(|_| !state.fetch_wanted) else {
-            return timeouts.fetch();
+            return timeouts.fetch(self.table.is_confirmed());
         };
         let is_first_watch = std::mem::replace(&mut state.is_first_watch, false);
         // An answer without changes confirms the list as well.
@@ -165,11 +159,7 @@
 
     fn start_poll(&self, request: &PollRequest) -> PollInFlight {
         let path = list_path(request.watch);
-        let timeout = if self.must_be_polled {
-            LATE_POLL_TIMEOUT
-        } else {
-            request.timeout
-        };
+        let timeout = request.response_timeout;
         let platform = self.platform;
         Box::pin(async move {
             let response = platform
@@ -221,6 +211,9 @@
             return Ok(());
         }
         state.watch_wanted = true;
+        if !self.must_be_polled {
+            state.fetch_wanted = false;
+        }
         self.apply_document(state, document).await
     }
 
@@ -232,7 +225,8 @@
         error: PlatformError,
     ) -> Result<(), DispatcherEnded> {
         if state.reachability.update(Reachability::Unreachable) {
-            warn!(self.log, "endpoint list not updated: the poll failed"; "problem" => %error);
+            warn!(self.log, "endpoint list not updated: the poll failed"; "problem" => %error,
+                "deliveries_wait" => !self.table.is_confirmed());
         }
         if self.must_be_polled {
             state.watch_wanted = false;
@@ -246,6 +240,16 @@
         Ok(())
     }
 
+    /// Returns whether commands or results since the start of the poll have made it useless: no poll is wanted any more, a
+    /// fetch is wanted in place of a watch, or an earlier fetch has got the list.
+    fn is_superseded(&self, request: &PollRequest, state: &WatchState) -> bool {
+        let is_fetch = request.watch.is_none();
+        let fetch_replaces_watch = state.fetch_wanted && !is_fetch;
+        let list_was_fetched =
+            is_fetch && !self.must_be_polled && !state.fetch_wanted && self.table.is_confirmed();
+        fetch_replaces_watch || list_was_fetched || !state.poll_wanted()
+    }
+
     async fn send_update(&self, update: EndpointListUpdate) -> Result<(), DispatcherEnded> {
         let event = DispatcherCommand::Event(Event::EndpointListUpdated(update));
         self.dispatcher
@@ -265,13 +269,6 @@
     }
 }
 
-/// Returns whether commands since the start of the poll have made it useless: no poll is wanted any more, or a fetch is
-/// wanted in place of a watch.
-fn is_superseded(request: &PollRequest, state: &WatchState) -> bool {
-    let fetch_replaces_watch = state.fetch_wanted && request.watch.is_some();
-    fetch_replaces_watch || !state.poll_wanted()
-}
-
 fn decode_document(response: PlatformResponse) -> PollResult {
     if response.status != StatusCode::OK {
         return Err(PlatformError::Status(response.status));
--- a/crates/forwarder/src/endpoint_list/watch/poll_request.rs
+++ b/crates/forwarder/src/endpoint_list/watch/poll_request.rs
@@ -11,6 +11,14 @@
 /// runs on the same machine.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time after which a fetch is repeated while no list is confirmed. Deliveries wait for that list, and the agent may have
+/// dropped the requests that it received while it was silent.
+const UNCONFIRMED_FETCH_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Upper bound on the duration of a poll where discovery must be polled, including the time that it continues in the
+/// background after its timeout. It is longer than any poll that is made meanwhile.
+const LATE_POLL_TIMEOUT: Duration = Duration::from_secs(7);
+
 /// Counterpart of [`MAX_WATCH_WAIT`] where discovery must be polled. The next poll comes later there, so silence must
 /// be noticed sooner.
 const POLLED_MAX_WATCH_WAIT: Duration = Duration::from_secs(2);
@@ -25,8 +33,18 @@
     /// The revision after which changes are requested, and the maximum time that the agent may wait for one. `None`
     /// requests the complete list.
     pub watch: Option<(u64, Duration)>,
-    /// Upper bound on the time until the whole response is read.
+    /// Time without a whole response after which the poll counts as failed.
     pub timeout: Duration,
+    /// Upper bound on the time until the whole response is read. If it exceeds `timeout`, the poll continues in the
+    /// background after it has failed.
+    pub response_timeout: Duration,
+}
+
+impl PollRequest {
+    /// Returns whether the poll continues in the background after its timeout.
+    pub fn continues_in_background(&self) -> bool {
+        self.response_timeout > self.timeout
+    }
 }
 
 /// The timeouts of all polls of a process.
@@ -35,8 +53,12 @@
     max_watch_wait: Duration,
     /// Upper bound on how much longer than the requested wait a watch may take.
     response: Duration,
-    /// Upper bound on the duration of a fetch.
+    /// Timeout of a fetch while a confirmed list is known.
     fetch: Duration,
+    /// Timeout of a fetch while no list is confirmed.
+    unconfirmed_fetch: Duration,
+    /// Lower bound on the time for which a poll may wait for its response, counted from its start.
+    min_response_timeout: Duration,
 }
 
 impl PollTimeouts {
@@ -48,22 +70,28 @@
                 response: POLLED_RESPONSE_TIMEOUT,
                 // Giving up a fetch sooner than a watch would waste its cost.
                 fetch: POLLED_MAX_WATCH_WAIT + POLLED_RESPONSE_TIMEOUT,
+                unconfirmed_fetch: POLLED_MAX_WATCH_WAIT + POLLED_RESPONSE_TIMEOUT,
+                min_response_timeout: LATE_POLL_TIMEOUT,
             }
         } else {
             PollTimeouts {
                 max_watch_wait: MAX_WATCH_WAIT,
                 response: RESPONSE_TIMEOUT,
                 fetch: RESPONSE_TIMEOUT,
+                unconfirmed_fetch: UNCONFIRMED_FETCH_INTERVAL,
+                min_response_timeout: RESPONSE_TIMEOUT,
             }
         }
     }
 
-    /// Returns a request for the complete list.
-    pub fn fetch(&self) -> PollRequest {
-        PollRequest {
-            watch: None,
-            timeout: self.fetch,
-        }
+    /// Returns a request for the complete list. `is_confirmed`: whether a confirmed list is known.
+    pub fn fetch(&self, is_confirmed: bool) -> PollRequest {
+        let timeout = if is_confirmed {
+            self.fetch
+        } else {
+            self.unconfirmed_fetch
+        };
+        self.request(None, timeout)
     }
 
     /// Returns a request that waits for changes after a revision.
@@ -77,9 +105,14 @@
     }
 
     fn changes_within(&self, revision: u64, wait: Duration) -> PollRequest {
+        self.request(Some((revision, wait)), wait + self.response)
+    }
+
+    fn request(&self, watch: Option<(u64, Duration)>, timeout: Duration) -> PollRequest {
         PollRequest {
-            watch: Some((revision, wait)),
-            timeout: wait + self.response,
+            watch,
+            timeout,
+            response_timeout: timeout.max(self.min_response_timeout),
         }
     }
 }
--- a/crates/forwarder/src/endpoint_list/watch/state.rs
+++ b/crates/forwarder/src/endpoint_list/watch/state.rs
@@ -14,9 +14,9 @@
     pub is_first_watch: bool,
     /// Whether the latest poll succeeded. Only a change of this state is logged.
     pub reachability: Reachability,
-    /// The latest poll that timed out, which continues in the background. It is dropped once a later poll succeeds, or
-    /// replaced once a later poll times out. An overloaded discovery responds late: dropping its responses and polling
-    /// again would add load without ever getting a response in time.
+    /// A poll that timed out and continues in the background. It is dropped once a later poll succeeds. An overloaded
+    /// discovery responds late: dropping its responses and polling again would add load without ever getting a response
+    /// in time.
     pub late_poll: Option<PollInFlight>,
 }
 
@@ -46,6 +46,15 @@
         self.watch_wanted || self.fetch_wanted
     }
 
+    /// Lets a poll that timed out continue in the background. Where discovery must be polled, the latest such poll is kept,
+    /// because the next one comes seconds later. Otherwise the oldest one is kept, so that polls that are repeated at short
+    /// intervals leave an agent as long to respond as a single one.
+    pub fn keep_late_poll(&mut self, poll: PollInFlight, must_be_polled: bool) {
+        if must_be_polled || self.late_poll.is_none() {
+            self.late_poll = Some(poll);
+        }
+    }
+
     /// Waits for the result of the poll that timed out. Never completes if there is no such poll.
     pub async fn late_result(&mut self) -> PollResult {
         let Some(poll) = &mut self.late_poll else {
--- a/crates/forwarder/src/startup.rs
+++ b/crates/forwarder/src/startup.rs
@@ -17,7 +17,7 @@
 use crate::reload::{self, ReadConfig};
 use crate::shutdown::{self, ShutdownStage};
 use crate::startup_config::{GossipPeers, StartupConfig};
-use opalpulley::cached_list::must_be_confirmed;
+use opalpulley::list_confirmation::must_be_confirmed;
 use opalpulley::{Config, EndpointListUpdate, Event, Micros};
 use opalpulley_config::Names;
 use slog::{error, info, Logger};
@@ -249,7 +249,7 @@
             let entries = endpoint_table.restore(list, &self.names());
             if must_be_confirmed(&self.config) {
                 endpoint_table.expect_confirmation();
-                dispatcher.withhold_cached_list(entries);
+                dispatcher.withhold_cached_list(&entries);
             } else {
                 let cached_list = Event::EndpointListUpdated(EndpointListUpdate::Cached(entries));
                 dispatcher.handle_command(DispatcherCommand::Event(cached_list));
--- a/crates/forwarder/tests/program/main.rs
+++ b/crates/forwarder/tests/program/main.rs
@@ -8,5 +8,6 @@
 mod endpoint_list;
 mod memory;
 mod message_log;
+mod outage_at_start;
 mod restarts;
 mod submissions;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,5 +23,5 @@
 pub use forwarder::Forwarder;
 pub use idle::StateCounts;
 pub use model::*;
-pub use policy::cached_list;
+pub use policy::list_confirmation;
 pub use policy::list_polling::MAX_POLL_SILENCE;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -7,11 +7,11 @@
 
 pub mod admission;
 pub mod attempt_timeout;
-pub mod cached_list;
 pub mod concurrency;
 pub mod connection_reuse;
 pub mod gossip;
 pub mod health_check;
+pub mod list_confirmation;
 pub mod list_polling;
 pub mod ordering;
 pub mod outlier;
