Reload: the list of the previous agent is suspended once the new one is overdue

What the new agent knows counts as notified 4 s after the signal, so that an address may belong to another destination from then on.

Change: 3.7 s after the signal (NEW_AGENT_TIMEOUT) the endpoints count as draining until the new agent has sent a list: no attempt, no health check, unsent attempts are withdrawn, and what was learned of the endpoints is kept. Messages are accepted and wait. The time is counted from the signal, not from the moment at which the file was read.

--- a/crates/forwarder/src/clock.rs
+++ b/crates/forwarder/src/clock.rs
@@ -40,3 +40,11 @@
 pub fn micros(duration: Duration) -> Micros {
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
+
+/// Sleeps until the deadline. Never returns if there is none.
+pub async fn sleep_until(deadline: Option<Instant>) {
+    match deadline {
+        Some(deadline) => tokio::time::sleep_until(deadline).await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/forwarder/src/commands.rs
+++ b/crates/forwarder/src/commands.rs
@@ -42,6 +42,9 @@
 pub enum DispatcherCommand {
     /// Passes an event to the decision core.
     Event(Event),
+    /// The agent of the endpoint list is no longer in charge, and its successor has sent no list in time. Nothing may be
+    /// sent by the list until the next update.
+    SuspendEndpointList,
     /// The platform acknowledged the completion reports with these serial numbers.
     CompletionReportsAcknowledged(Vec<u64>),
 }
--- a/crates/forwarder/src/completion_reports.rs
+++ b/crates/forwarder/src/completion_reports.rs
@@ -1,13 +1,14 @@
 //! The actor that sends completion reports to the platform, and retries until the platform acknowledges them.
 
 use crate::commands::{DispatcherCommand, PendingCompletionReport};
-use crate::platform::{PlatformClient, PlatformError, PlatformResponse, Reachability};
+use crate::platform::{
+    AgentAddress, PlatformClient, PlatformError, PlatformResponse, Reachability,
+};
 use crate::protocol::{encode_completion_reports, COMPLETION_REPORTS_PATH};
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
 use slog::{error, info, warn, Logger};
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 
@@ -30,7 +31,7 @@
     /// The client of the platform's agent.
     pub platform: PlatformClient,
     /// The address of the agent. A change cancels the request in flight.
-    pub agent_address: watch::Receiver<SocketAddr>,
+    pub agent_address: watch::Receiver<AgentAddress>,
     /// The mailbox of the dispatcher.
     pub dispatcher: mpsc::Sender<DispatcherCommand>,
     /// The logger for failures and recoveries of the exchange with the platform.
@@ -113,7 +114,7 @@
             response = self.platform.request(Method::POST, COMPLETION_REPORTS_PATH, body, queue.response_timeout) => response,
             // The reports stay in the queue: those that the old address did not acknowledge are sent to the new address.
             Ok(()) = self.agent_address.changed() => {
-                let address = *self.agent_address.borrow_and_update();
+                let address = self.agent_address.borrow_and_update().address;
                 self.platform.set_address(address);
                 return Ok(());
             }
--- a/crates/forwarder/src/completion_reports/golden_tests.rs
+++ b/crates/forwarder/src/completion_reports/golden_tests.rs
@@ -3,6 +3,7 @@
 
 use super::*;
 use crate::golden_cases::{text, GoldenCases};
+use crate::platform::AgentAddress;
 use crate::protocol::Ending;
 use serde_json::{json, Value};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -62,7 +63,7 @@
         .await
         .expect("a port is free");
     let address = listener.local_addr().expect("the listener has an address");
-    let (_address_sender, agent_address) = watch::channel(address);
+    let (_address_sender, agent_address) = watch::channel(AgentAddress::set_now(address));
     let (dispatcher, mut commands) = mpsc::channel(4);
     let (mailbox, pending_reports) = mpsc::unbounded_channel();
     for (serial, report) in input["ends"]
--- a/crates/forwarder/src/dispatcher.rs
+++ b/crates/forwarder/src/dispatcher.rs
@@ -18,7 +18,7 @@
 mod timers;
 mod unfinished_messages;
 
-use crate::clock::Clock;
+use crate::clock::{sleep_until, Clock};
 use crate::commands::{
     DispatcherCommand, EndpointListCommand, GossipDatagram, PendingCompletionReport,
     SubmissionRequest,
@@ -193,6 +193,7 @@
             DispatcherCommand::Event(Event::EndpointListUpdated(update)) => {
                 self.update_endpoint_list(update);
             }
+            DispatcherCommand::SuspendEndpointList => self.suspend_endpoint_list(),
             DispatcherCommand::Event(mut event) => {
                 self.record_attempt_end(&mut event);
                 self.handle_event(event);
@@ -262,13 +263,5 @@
     }
 }
 
-/// Sleeps until the deadline. Never returns if there is none.
-async fn sleep_until(deadline: Option<Instant>) {
-    match deadline {
-        Some(deadline) => tokio::time::sleep_until(deadline).await,
-        None => std::future::pending().await,
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/forwarder/src/dispatcher/endpoint_list.rs
+++ b/crates/forwarder/src/dispatcher/endpoint_list.rs
@@ -2,10 +2,12 @@
 //! discovery has confirmed it.
 
 use super::Dispatcher;
+use opalpulley::list_confirmation::suspended_entry;
 use opalpulley::{
     DestinationId, EndpointEntry, EndpointId, EndpointKindId, EndpointListUpdate, EndpointStatus,
     Event, Micros, ZoneId,
 };
+use slog::warn;
 use std::collections::btree_map::Entry;
 
 /// The entry of an endpoint in the latest list without the endpoint's id, which is the key in the dispatcher's table. The
@@ -72,6 +74,20 @@
         self.submit_recovered_messages();
     }
 
+    /// Stops attempts and health checks by the list in force until the next complete list.
+    pub(super) fn suspend_endpoint_list(&mut self) {
+        let ready = self
+            .listed_endpoints
+            .iter()
+            .filter(|(_, listed)| listed.status == EndpointStatus::Ready);
+        let suspended: Vec<EndpointEntry> = ready
+            .map(|(endpoint, listed)| suspended_entry(listed.to_entry(*endpoint)))
+            .collect();
+        warn!(self.log, "endpoint list suspended: the new platform agent has sent no list";
+            "endpoints" => suspended.len());
+        self.update_endpoint_list(EndpointListUpdate::Changes(suspended));
+    }
+
     fn add_known_destinations(&mut self, entries: &[EndpointEntry]) {
         let mut destinations = entries.iter().map(|entry| entry.destination).collect();
         self.known_destinations.append(&mut destinations);
--- a/crates/forwarder/src/endpoint_list/golden_tests.rs
+++ b/crates/forwarder/src/endpoint_list/golden_tests.rs
@@ -4,6 +4,7 @@
 use super::*;
 use crate::commands::{DispatcherCommand, EndpointListCommand};
 use crate::golden_cases::{text, GoldenCases};
+use crate::platform::AgentAddress;
 use crate::platform::PlatformClient;
 use opalpulley::{EndpointEntry, EndpointListUpdate, EndpointStatus, Event};
 use opalpulley_config::Names;
@@ -67,7 +68,7 @@
         .await
         .expect("the listener is bound");
     let address = listener.local_addr().expect("the listener has an address");
-    let (_address_sender, agent_address) = watch::channel(address);
+    let (_address_sender, agent_address) = watch::channel(AgentAddress::set_now(address));
     let (dispatcher, mut events) = mpsc::channel(64);
     let (commands, command_receiver) = mpsc::channel(4);
     let must_be_polled = input["must be asked"] == true;
@@ -79,6 +80,7 @@
         agent_address,
         names: names(),
         table,
+        must_be_confirmed: true,
         must_be_polled,
         dispatcher,
         log,
--- a/crates/forwarder/src/endpoint_list/watch.rs
+++ b/crates/forwarder/src/endpoint_list/watch.rs
@@ -9,17 +9,20 @@
 mod state;
 
 use super::table::EndpointTable;
+use crate::clock::sleep_until;
 use crate::commands::{DispatcherCommand, EndpointListCommand};
-use crate::platform::{PlatformClient, PlatformError, PlatformResponse, Reachability};
+use crate::platform::{
+    AgentAddress, PlatformClient, PlatformError, PlatformResponse, Reachability,
+};
 use crate::protocol::{list_path, EndpointListDocument};
 use hyper::{Method, StatusCode};
+use opalpulley::list_confirmation::NEW_AGENT_TIMEOUT;
 use opalpulley::{EndpointListUpdate, Event};
 use opalpulley_config::Names;
 use poll_request::{PollRequest, PollTimeouts};
 use slog::{info, warn, Logger};
 use state::WatchState;
 use std::future::Future;
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
@@ -33,13 +36,15 @@
     /// The client of the platform's agent.
     pub platform: PlatformClient,
     /// The address of the agent. A change takes effect at once, also during a poll.
-    pub agent_address: watch::Receiver<SocketAddr>,
+    pub agent_address: watch::Receiver<AgentAddress>,
     /// The names of zones and endpoint kinds in the settings.
     pub names: Names,
     /// The known list.
     pub table: EndpointTable,
     /// Whether discovery must be polled. Otherwise it reports changes by itself.
     pub must_be_polled: bool,
+    /// Whether deliveries wait while the list is not confirmed.
+    pub must_be_confirmed: bool,
     /// The mailbox of the dispatcher.
     pub dispatcher: mpsc::Sender<DispatcherCommand>,
     /// The logger for failed polls and for the recovery from them.
@@ -100,10 +105,12 @@
         state: &mut WatchState,
         commands: &mut mpsc::Receiver<EndpointListCommand>,
     ) -> Result<(), DispatcherEnded> {
+        let suspend_at = state.suspend_at;
         tokio::select! {
             command = commands.recv() => state.handle_command(command.ok_or(DispatcherEnded)?),
             Ok(()) = self.agent_address.changed() => self.handle_address_change(state),
             result = state.late_result() => self.apply_late_result(state, result).await?,
+            () = sleep_until(suspend_at) => self.suspend_list(state).await?,
         }
         Ok(())
     }
@@ -121,6 +128,7 @@
         // A command that does not supersede the poll leaves it in flight, because starting it again would double its
         // cost.
         loop {
+            let suspend_at = state.suspend_at;
             tokio::select! {
                 result = &mut poll => return Ok(PollOutcome::Finished(result)),
                 () = &mut timeout => {
@@ -135,6 +143,7 @@
                     return Ok(PollOutcome::Superseded);
                 }
                 result = state.late_result() => self.apply_late_result(state, result).await?,
+                () = sleep_until(suspend_at) => self.suspend_list(state).await?,
             }
             if self.is_superseded(&request, state) {
                 return Ok(PollOutcome::Superseded);
@@ -179,6 +188,7 @@
             info!(self.log, "discovery poll succeeded after failures; endpoint list is up to date";
                 "revision" => document.revision);
         }
+        state.suspend_at = None;
         let was_unconfirmed = self.table.is_unconfirmed();
         let update = self.table.apply(document, &self.names);
         if was_unconfirmed && !self.table.is_unconfirmed() {
@@ -258,11 +268,22 @@
             .map_err(|_| DispatcherEnded)
     }
 
+    async fn suspend_list(&self, state: &mut WatchState) -> Result<(), DispatcherEnded> {
+        state.suspend_at = None;
+        self.dispatcher
+            .send(DispatcherCommand::SuspendEndpointList)
+            .await
+            .map_err(|_| DispatcherEnded)
+    }
+
     /// Switches to the agent's new address. The agent there counts its own revisions, so the complete list is fetched
-    /// again. The list from the previous address stays in use until then.
+    /// again. The list from the previous address stays in use until then, for at most [`NEW_AGENT_TIMEOUT`].
     fn handle_address_change(&mut self, state: &mut WatchState) {
-        let address = *self.agent_address.borrow_and_update();
-        self.platform.set_address(address);
+        let AgentAddress { address, set_at } = *self.agent_address.borrow_and_update();
+        let has_new_agent = self.platform.set_address(address);
+        if has_new_agent && self.must_be_confirmed && self.table.is_confirmed() {
+            state.suspend_at = Some(set_at + Duration::from_micros(NEW_AGENT_TIMEOUT));
+        }
         self.table.revision = None;
         state.fetch_wanted = true;
         state.late_poll = None;
--- a/crates/forwarder/src/endpoint_list/watch/state.rs
+++ b/crates/forwarder/src/endpoint_list/watch/state.rs
@@ -3,6 +3,7 @@
 use super::{PollInFlight, PollResult};
 use crate::commands::EndpointListCommand;
 use crate::platform::Reachability;
+use tokio::time::Instant;
 
 /// The polls that are wanted, and the state of earlier ones.
 pub struct WatchState {
@@ -18,6 +19,8 @@
     /// discovery responds late: dropping its responses and polling again would add load without ever getting a response
     /// in time.
     pub late_poll: Option<PollInFlight>,
+    /// Time at which the list is suspended unless the agent, whose address has changed, sends one before.
+    pub suspend_at: Option<Instant>,
 }
 
 impl WatchState {
@@ -29,6 +32,7 @@
             is_first_watch: true,
             reachability: Reachability::Reachable,
             late_poll: None,
+            suspend_at: None,
         }
     }
 
--- a/crates/forwarder/src/endpoint_list/watch/tests.rs
+++ b/crates/forwarder/src/endpoint_list/watch/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the endpoint list actor with agents that stop responding, or that send long or unreadable lists.
 
 use super::*;
+use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::time::Instant;
@@ -30,7 +31,7 @@
     commands: mpsc::Sender<EndpointListCommand>,
     events: mpsc::Receiver<DispatcherCommand>,
     /// The address of the agent. The actor needs it until it ends.
-    _agent_address: watch::Sender<SocketAddr>,
+    _agent_address: watch::Sender<AgentAddress>,
 }
 
 impl TestFixture {
@@ -40,7 +41,7 @@
         must_be_polled: bool,
         log: Logger,
     ) -> TestFixture {
-        let (address_sender, agent_address) = watch::channel(agent);
+        let (address_sender, agent_address) = watch::channel(AgentAddress::set_now(agent));
         let (commands, command_receiver) = mpsc::channel(4);
         let (dispatcher, events) = mpsc::channel(8);
         let list_watch = EndpointListWatch {
@@ -49,6 +50,7 @@
             names: names(),
             table,
             must_be_polled,
+            must_be_confirmed: true,
             dispatcher,
             log,
         };
--- a/crates/forwarder/src/main.rs
+++ b/crates/forwarder/src/main.rs
@@ -7,6 +7,7 @@
 use std::process::ExitCode;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 /// Upper bound on the number of log lines that wait to be written. Further lines are counted and dropped.
 const LOG_QUEUE_LINES: usize = 1024;
@@ -43,11 +44,11 @@
     })
 }
 
-/// Requests a reload for each SIGHUP until the forwarder ends.
-async fn forward_reload_requests(mut sighup: Signal, reload_requests: mpsc::Sender<()>) {
+/// Requests a reload for each SIGHUP, with the time of the signal, until the forwarder ends.
+async fn forward_reload_requests(mut sighup: Signal, reload_requests: mpsc::Sender<Instant>) {
     while sighup.recv().await.is_some() && !reload_requests.is_closed() {
         // A request that is still queued covers the later ones.
-        let _ = reload_requests.try_send(());
+        let _ = reload_requests.try_send(Instant::now());
     }
 }
 
--- a/crates/forwarder/src/platform.rs
+++ b/crates/forwarder/src/platform.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 /// Upper bound on the body of a response, in bytes. It is larger than any endpoint list that fits the memory limit.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
@@ -77,6 +78,25 @@
     pub body: Bytes,
 }
 
+/// The address of the agent that is in charge, published to the actors that send it requests.
+#[derive(Clone, Copy, Debug)]
+pub struct AgentAddress {
+    /// The address at which the agent listens.
+    pub address: SocketAddr,
+    /// Time of the start or of the reload request that set the address.
+    pub set_at: Instant,
+}
+
+impl AgentAddress {
+    /// Returns an address that is set now.
+    pub fn set_now(address: SocketAddr) -> AgentAddress {
+        AgentAddress {
+            address,
+            set_at: Instant::now(),
+        }
+    }
+}
+
 /// A client of the platform's agent. Each request has a connection of its own.
 #[derive(Clone, Copy)]
 pub struct PlatformClient {
@@ -89,9 +109,10 @@
         PlatformClient { address }
     }
 
-    /// Sets the address of the agent for later requests.
-    pub fn set_address(&mut self, address: SocketAddr) {
-        self.address = address;
+    /// Sets the address of the agent for later requests. Returns whether it has changed.
+    pub fn set_address(&mut self, address: SocketAddr) -> bool {
+        let previous = std::mem::replace(&mut self.address, address);
+        previous != address
     }
 
     /// Sends one request and reads the whole response. Fails if that takes longer than `timeout`. Dropping the future
--- a/crates/forwarder/src/reload.rs
+++ b/crates/forwarder/src/reload.rs
@@ -1,9 +1,9 @@
 //! Reads the startup configuration again on SIGHUP. A change of the platform's address takes effect at once, a change
 //! of any other key at the next start.
 
+use crate::platform::AgentAddress;
 use crate::startup_config::{ComparedConfig, ConfigError, StartupConfig};
 use slog::{error, info, warn, Logger};
-use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
@@ -20,13 +20,13 @@
 /// Reads the configuration for each request, and publishes the address of the platform's agent. Logs a configuration
 /// that cannot be used, or whose compared keys differ from `config_in_force`. Returns when the requests end.
 pub async fn run(
-    mut requests: mpsc::Receiver<()>,
+    mut requests: mpsc::Receiver<Instant>,
     mut read_config: ReadConfig,
     config_in_force: ComparedConfig,
-    discovery: watch::Sender<SocketAddr>,
+    discovery: watch::Sender<AgentAddress>,
     log: Logger,
 ) {
-    while requests.recv().await.is_some() {
+    while let Some(requested_at) = requests.recv().await {
         let startup = match read_with_retries(&mut read_config).await {
             Ok(startup) => startup,
             Err(error) => {
@@ -44,7 +44,10 @@
             );
         }
         // An unchanged address is published as well: a platform that requests a reload has reasons to be polled again.
-        discovery.send_replace(address);
+        discovery.send_replace(AgentAddress {
+            address,
+            set_at: requested_at,
+        });
     }
 }
 
--- a/crates/forwarder/src/startup.rs
+++ b/crates/forwarder/src/startup.rs
@@ -12,7 +12,7 @@
 use crate::endpoints::EndpointContext;
 use crate::gossip_socket;
 use crate::journal::Journal;
-use crate::platform::PlatformClient;
+use crate::platform::{AgentAddress, PlatformClient};
 use crate::protocol::EndpointListDocument;
 use crate::reload::{self, ReadConfig};
 use crate::shutdown::{self, ShutdownStage};
@@ -29,6 +29,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{mpsc, watch, Semaphore};
+use tokio::time::Instant;
 
 /// Capacity of the dispatcher's mailbox, in commands. Actors that find it full wait.
 const DISPATCHER_MAILBOX_CAPACITY: usize = 1024;
@@ -53,8 +54,8 @@
     /// Resolves when the forwarder must shut down. The dispatcher ends at most 3.3 s later, and the process 50 ms after
     /// the dispatcher.
     pub terminate: Pin<Box<dyn Future<Output = ()> + Send>>,
-    /// Yields one value for each time that the startup configuration must be read again.
-    pub reload: mpsc::Receiver<()>,
+    /// Yields one value for each time that the startup configuration must be read again: the time of the request.
+    pub reload: mpsc::Receiver<Instant>,
     /// Reads the startup configuration again.
     pub read_config: ReadConfig,
 }
@@ -262,10 +263,11 @@
     /// change.
     fn start_reload(
         &self,
-        reload_requests: mpsc::Receiver<()>,
+        reload_requests: mpsc::Receiver<Instant>,
         read_config: ReadConfig,
-    ) -> watch::Receiver<SocketAddr> {
-        let (discovery, discovery_changes) = watch::channel(self.startup.discovery);
+    ) -> watch::Receiver<AgentAddress> {
+        let (discovery, discovery_changes) =
+            watch::channel(AgentAddress::set_now(self.startup.discovery));
         tokio::spawn(reload::run(
             reload_requests,
             read_config,
@@ -279,7 +281,7 @@
     fn start_list_watch(
         &self,
         endpoint_table: EndpointTable,
-        agent_address: watch::Receiver<SocketAddr>,
+        agent_address: watch::Receiver<AgentAddress>,
         commands: mpsc::Receiver<EndpointListCommand>,
     ) {
         let list_watch = EndpointListWatch {
@@ -288,6 +290,7 @@
             names: self.names(),
             table: endpoint_table,
             must_be_polled: self.config.list_poll_interval.is_some(),
+            must_be_confirmed: must_be_confirmed(&self.config),
             dispatcher: self.dispatcher.clone(),
             log: self.log.clone(),
         };
@@ -296,7 +299,7 @@
 
     fn start_completion_reports(
         &self,
-        discovery: watch::Receiver<SocketAddr>,
+        discovery: watch::Receiver<AgentAddress>,
         reports: mpsc::UnboundedReceiver<PendingCompletionReport>,
     ) {
         let completion_reports = CompletionReporter {
--- a/crates/forwarder/tests/program/configuration.rs
+++ b/crates/forwarder/tests/program/configuration.rs
@@ -2,6 +2,9 @@
 
 use crate::common::*;
 use std::process::Stdio;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 /// After SIGHUP the list is fetched from the new platform and reports are sent to it. An invalid file changes nothing.
 #[test]
@@ -70,6 +73,52 @@
         .is_none());
 }
 
+/// Guards against a message that reaches an endpoint of another destination because the agent that a reload names does not
+/// answer: 4 s after SIGHUP the changes that it knows count as notified. Messages wait for its list and are then sent.
+#[test]
+fn sends_nothing_by_the_list_of_the_previous_agent_once_the_new_one_is_overdue() {
+    let (reused_address, reused_log) = endpoint_responding_with("200 OK");
+    let (replacement, replacement_log) = endpoint_responding_with("200 OK");
+    let old_platform = start_platform(vec![member_named("old", reused_address, 7, "Ready")], 0);
+    let new_agent_answers = Arc::new(AtomicBool::new(false));
+    let answers = new_agent_answers.clone();
+    let (new_agent, _) = serve(move |_, _| {
+        let members = [
+            member_named("taker", reused_address, 8, "Ready"),
+            member_named("replacement", replacement, 7, "Ready"),
+        ];
+        let is_silent = !answers.load(Ordering::SeqCst);
+        (!is_silent).then(|| ok_response(&endpoint_list(1, true, &members)))?
+    });
+    let (dir, state) = state_folder();
+    let config_text = startup_config("notice", "free", 200, 3.0);
+    let forwarder = start(&state, &config_text, old_platform.address);
+    let new_config = with_further_keys(&config_text, &format!("\"discovery\":\"{new_agent}\""));
+    std::fs::write(dir.path().join("config.json"), new_config).expect("the write succeeds");
+    let reloaded_at = Instant::now();
+    forwarder.signal("-HUP");
+    sleep_ms(300);
+    assert_eq!(forwarder.submit("early", "notice"), 202);
+    wait_until("the list of the old platform is used meanwhile", || {
+        count_calls(&reused_log, "early") == 1
+    });
+
+    std::thread::sleep(Duration::from_secs(4).saturating_sub(reloaded_at.elapsed()));
+    assert_eq!(forwarder.submit("late", "notice"), 202);
+    sleep_ms(700);
+    assert_eq!(count_calls(&reused_log, "late"), 0);
+    new_agent_answers.store(true, Ordering::SeqCst);
+    let answered_at = Instant::now();
+    wait_until("the message is sent by the new list", || {
+        count_calls(&replacement_log, "late") == 1
+    });
+    let sent_after = answered_at.elapsed();
+    assert!(
+        sent_after < Duration::from_secs(1),
+        "expected the message within 1 s of the list, took {sent_after:?}"
+    );
+}
+
 #[test]
 fn exits_with_one_line_naming_the_invalid_key() {
     let (_dir, state) = state_folder();
--- a/src/policy/list_confirmation.rs
+++ b/src/policy/list_confirmation.rs
@@ -8,23 +8,41 @@
 //!
 //! - At a start, the list of an earlier process is unconfirmed, however short the interruption was:
 //!   the agent may have been told of changes meanwhile. Silence and failed polls confirm nothing.
+//! - After a reload that names another agent, the list of the previous agent counts as current for
+//!   [`NEW_AGENT_TIMEOUT`]. Then the changes that the new agent knows count as notified.
 //! - While the agent of the list falls silent, the list stays in force: that agent has told all it
 //!   had, and what it learns later counts as notified only after its return.
 //!
-//! Where a large fleet polls discovery, the first polls are spread over seconds, and the cached
-//! list is used at once until then.
+//! Where a large fleet polls discovery, the first polls are spread over seconds. Such a fleet does
+//! not wait for a confirmation: the list that it has stays in force.
 //!
 //! All times are in µs.
 
 use super::list_polling;
-use crate::model::{Config, Micros};
+use crate::model::{Config, EndpointEntry, EndpointStatus, Micros};
 
 /// Upper bound on the delay of the first poll with which the cached list is withheld until discovery
 /// responds.
 const MAX_WITHHELD_POLL_DELAY: Micros = 1_000_000;
 
-/// Returns whether a cached list is withheld until discovery has responded: unless the first poll
-/// may be seconds away.
+/// Time after a reload that names another agent for which the list of the previous agent counts as
+/// current. The changes that the new agent knows count as notified 4 s after the reload; the
+/// difference is for a process that is held up.
+pub const NEW_AGENT_TIMEOUT: Micros = 3_700_000;
+
+/// Returns the entry with which the core holds an endpoint of a list that is no longer confirmed.
+/// It gets no new attempt and no health check, attempts that are not sent yet are withdrawn, and
+/// what was learned of it is kept.
+pub fn suspended_entry(entry: EndpointEntry) -> EndpointEntry {
+    let status = match entry.status {
+        EndpointStatus::Ready => EndpointStatus::Draining,
+        other => other,
+    };
+    EndpointEntry { status, ..entry }
+}
+
+/// Returns whether deliveries wait while the list is not confirmed: unless the first poll may be
+/// seconds away.
 pub fn must_be_confirmed(config: &Config) -> bool {
     list_polling::max_first_poll_delay(config) < MAX_WITHHELD_POLL_DELAY
 }
