Attempts end when their call does: no message is sent again while its call is out

Cause: the outcome of a status that may have taken effect was reported with the head of the response. The core takes the report for the end of the attempt, frees the permit and retries; the body was read for 500 ms more.

Change: unless the message is delivered, the result is reported once the body has ended, or was given up and the socket is closed (StreamState::wait_until_closed); a call that times out, is cancelled, withdrawn or gets an invalid head waits for the same proof.

--- a/crates/forwarder/src/commands.rs
+++ b/crates/forwarder/src/commands.rs
@@ -107,8 +107,17 @@
     pub idempotency_key: Option<String>,
     /// The body of the message.
     pub body: Bytes,
-    /// Upper bound on the duration of the attempt.
+    /// The times that bound the attempt.
+    pub times: AttemptTimes,
+}
+
+/// The times that bound an attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptTimes {
+    /// Upper bound on the time from the start of the attempt to the head of the response.
     pub timeout: Duration,
     /// Latest time at which the first byte may be written. After it the attempt ends without writing a byte.
     pub send_by: Instant,
+    /// Deadline of the message, at which its final answer is due.
+    pub deadline: Instant,
 }
--- a/crates/forwarder/src/dispatcher/attempts.rs
+++ b/crates/forwarder/src/dispatcher/attempts.rs
@@ -2,11 +2,10 @@
 
 use super::unfinished_messages::{OutstandingAttempt, UnfinishedMessage};
 use super::Dispatcher;
-use crate::commands::{AttemptRequest, EndpointCommand};
+use crate::commands::{AttemptRequest, AttemptTimes, EndpointCommand};
 use opalpulley::{EndpointId, Event, MessageId, Micros, Outcome};
 use slog::error;
 use std::time::Duration;
-use tokio::time::Instant;
 
 impl Dispatcher {
     /// Journals the next attempt at a message and sends it to the endpoint's actor. If either fails, the core gets the
@@ -26,7 +25,7 @@
             .listed_endpoints
             .get(&endpoint)
             .map_or(0, |listed| listed.zone.0);
-        let send_by = self.clock.at(send_by);
+        let clock = self.clock;
         let Some(message) = self.unfinished_messages.get_undecided(id) else {
             error!(self.log, "attempt from the core ignored: its message is unknown or has ended";
                 "message" => id.0);
@@ -35,7 +34,12 @@
         let time_left = message.deadline.saturating_sub(now);
         let timeout = timeout.map_or(time_left, |timeout| timeout.min(time_left));
         let attempt_index = message.take_attempt_index();
-        let request = attempt_request(id, attempt_index, message, timeout, send_by);
+        let times = AttemptTimes {
+            timeout: Duration::from_micros(timeout),
+            send_by: clock.at(send_by),
+            deadline: clock.at(message.deadline),
+        };
+        let request = attempt_request(id, attempt_index, message, times);
         let serial = message.serial;
         let outstanding = OutstandingAttempt {
             attempt_index,
@@ -157,8 +161,7 @@
     id: MessageId,
     attempt_index: u8,
     message: &UnfinishedMessage,
-    timeout: Micros,
-    send_by: Instant,
+    times: AttemptTimes,
 ) -> AttemptRequest {
     AttemptRequest {
         id,
@@ -166,7 +169,6 @@
         request_id: message.submitted.request_id.clone(),
         idempotency_key: message.submitted.idempotency_key.clone(),
         body: message.submitted.body.clone(),
-        timeout: Duration::from_micros(timeout),
-        send_by,
+        times,
     }
 }
--- a/crates/forwarder/src/dispatcher/endpoints/tests.rs
+++ b/crates/forwarder/src/dispatcher/endpoints/tests.rs
@@ -1,7 +1,7 @@
 //! Tests that actors run while their endpoints are in use, and that no command is lost when an actor is replaced.
 
 use super::*;
-use crate::commands::{AttemptRequest, DispatcherCommand};
+use crate::commands::{AttemptRequest, AttemptTimes, DispatcherCommand};
 use opalpulley::{Event, MessageId, Outcome};
 use opalpulley_config::{ConnectionConfig, Names};
 use std::time::Duration;
@@ -55,8 +55,11 @@
         request_id: format!("r-{attempt_index}"),
         idempotency_key: None,
         body: bytes::Bytes::from_static(b"body"),
-        timeout: Duration::from_secs(5),
-        send_by: tokio::time::Instant::now() + Duration::from_secs(5),
+        times: AttemptTimes {
+            timeout: Duration::from_secs(5),
+            send_by: tokio::time::Instant::now() + Duration::from_secs(5),
+            deadline: tokio::time::Instant::now() + Duration::from_secs(5),
+        },
     }))
 }
 
--- a/crates/forwarder/src/endpoints/actor.rs
+++ b/crates/forwarder/src/endpoints/actor.rs
@@ -27,6 +27,16 @@
     Closed,
 }
 
+/// The times that bound an attempt or health check.
+struct RequestTimes {
+    /// Upper bound on the time from the start of the request to the head of the response.
+    timeout: Duration,
+    /// The first byte is written before this instant, or no byte is written.
+    send_deadline: Instant,
+    /// The deadline of the message. `None` for a health check.
+    message_deadline: Option<Instant>,
+}
+
 /// Sends the attempts and health checks of one endpoint, as the dispatcher commands.
 pub struct Endpoint {
     id: EndpointId,
@@ -97,7 +107,7 @@
             self.id,
             &attempt.request_id,
             attempt.idempotency_key.as_deref(),
-            attempt.timeout,
+            attempt.times.timeout,
             &attempt.body,
         );
         let purpose = RequestPurpose::Attempt {
@@ -105,27 +115,24 @@
             attempt_index: attempt.attempt_index,
         };
         let request_id = Some(attempt.request_id);
-        self.start_request(
-            purpose,
-            request_id,
-            request,
-            attempt.timeout,
-            attempt.send_by,
-        );
+        let times = RequestTimes {
+            timeout: attempt.times.timeout,
+            send_deadline: attempt.times.send_by,
+            message_deadline: Some(attempt.times.deadline),
+        };
+        self.start_request(purpose, request_id, request, times);
     }
 
     fn start_health_check(&mut self) {
         let request = protocol::encode_health_check(self.id);
         let connect_timeout = Duration::from_micros(self.context.config.connect_timeout);
         let timeout = connect_timeout.mul_f64(HEALTH_CHECK_TIMEOUT_FACTOR);
-        let send_deadline = Instant::now() + timeout;
-        self.start_request(
-            RequestPurpose::HealthCheck,
-            None,
-            request,
+        let times = RequestTimes {
             timeout,
-            send_deadline,
-        );
+            send_deadline: Instant::now() + timeout,
+            message_deadline: None,
+        };
+        self.start_request(RequestPurpose::HealthCheck, None, request, times);
     }
 
     fn start_request(
@@ -133,8 +140,7 @@
         purpose: RequestPurpose,
         request_id: Option<String>,
         request: Result<EndpointRequest, hyper::http::Error>,
-        timeout: Duration,
-        send_deadline: Instant,
+        times: RequestTimes,
     ) {
         let (stop_sender, stop_requests) = watch::channel(StopRequest::Continue);
         let started_at = Instant::now();
@@ -144,9 +150,10 @@
             request_id,
             started_at,
             deadlines: ExchangeDeadlines {
-                send_deadline,
-                response_deadline: started_at + timeout,
+                send_deadline: times.send_deadline,
+                response_deadline: started_at + times.timeout,
             },
+            message_deadline: times.message_deadline,
             context: self.context.clone(),
         };
         let task = self.tasks.spawn(attempt.run(request, stop_requests));
--- a/crates/forwarder/src/endpoints/attempt.rs
+++ b/crates/forwarder/src/endpoints/attempt.rs
@@ -2,7 +2,8 @@
 
 use super::attempt_error::{AttemptError, AttemptStage, FailureCause};
 use super::exchange::{Exchange, ExchangeDeadlines, ExchangeResult};
-use super::response_body::{read_body, BodyEnd};
+use super::response_body::{read_body, BodyEnd, BODY_TIMEOUT, ERROR_BODY_TIMEOUT};
+use super::stream::StreamState;
 use super::EndpointContext;
 use crate::clock::micros;
 use crate::http_connection::UsedConnection;
@@ -12,7 +13,7 @@
 use opalpulley::{EndpointId, Event, MessageId, Outcome};
 use slog::{error, info};
 use std::fmt;
-use std::future::{ready, Future};
+use std::future::ready;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -78,13 +79,23 @@
     /// Returns the result after the end of the response body. An incomplete response does not prove that the message had no
     /// effect, so that it becomes a connection reset.
     fn confirmed_by(self, body_end: BodyEnd) -> AttemptResult {
-        match body_end {
-            BodyEnd::Complete => self,
-            BodyEnd::Incomplete => AttemptResult {
-                outcome: Outcome::ConnectionReset,
-                completed: false,
-                load_report: self.load_report,
-            },
+        if body_end == BodyEnd::Complete || self.outcome.may_have_taken_effect() {
+            return self;
+        }
+        AttemptResult {
+            outcome: Outcome::ConnectionReset,
+            completed: false,
+            load_report: self.load_report,
+        }
+    }
+}
+
+impl From<EndpointResponse> for AttemptResult {
+    fn from(response: EndpointResponse) -> AttemptResult {
+        AttemptResult {
+            outcome: response.outcome,
+            completed: response.completed,
+            load_report: response.load_report,
         }
     }
 }
@@ -122,6 +133,8 @@
     pub started_at: Instant,
     /// The deadlines of the request.
     pub deadlines: ExchangeDeadlines,
+    /// The deadline of the message. `None` for a health check.
+    pub message_deadline: Option<Instant>,
     /// State shared with the other endpoint actors.
     pub context: Arc<EndpointContext>,
 }
@@ -147,7 +160,11 @@
             Ok(ExchangeResult::Response {
                 response,
                 connection,
-            }) => self.finish_with_response(response, connection).await,
+                stream,
+            }) => {
+                self.finish_with_response(response, connection, &stream)
+                    .await;
+            }
             Ok(ExchangeResult::DeliveredStatusOnly) => self.report_delivered().await,
             Err(error) => self.report_error(error).await,
         }
@@ -158,16 +175,23 @@
         Exchange::new(self.endpoint, request, connect_timeout, self.deadlines)
     }
 
-    /// Reports the result of a response whose head was received, and reads its body.
+    /// Reports the result of a response whose head was received.
+    ///
+    /// A delivery is certain with the head, and its message is not sent again: it is reported at once, and the rest of the
+    /// body is read only so that the endpoint can write it. After any other status the message may be sent again. The
+    /// attempt is out until the response is written or its connection is closed, so the result is reported once the body
+    /// has ended, or is given up, and the connection is closed.
     async fn finish_with_response(
         &self,
         response: Response<Incoming>,
-        _connection: UsedConnection,
+        connection: UsedConnection,
+        stream: &StreamState,
     ) {
         let names = &self.context.names;
         let status = response.status();
         let decoded = EndpointResponse::decode(status, response.headers(), names);
-        let mut body = pin!(read_body(response.into_body()));
+        let deadline = self.body_deadline(decoded.outcome);
+        let mut body = pin!(read_body(response.into_body(), deadline));
         let early_body_end = tokio::select! {
             biased;
             end = &mut body => Some(end),
@@ -180,33 +204,32 @@
                 None => body.await,
             }
         };
-        self.report_response(status, decoded, rest_of_body).await;
-    }
-
-    /// Reads the response body to its end, and reports the outcome as soon as it is certain. If the message may have taken
-    /// effect, the response head is enough, and the rest of the body is read only so that the endpoint can write it.
-    /// Otherwise the whole response must be received, because an incomplete one does not prove that the message had no
-    /// effect.
-    async fn report_response(
-        &self,
-        status: StatusCode,
-        response: EndpointResponse,
-        rest_of_body: impl Future<Output = BodyEnd>,
-    ) {
-        let result = AttemptResult {
-            outcome: response.outcome,
-            completed: response.completed,
-            load_report: response.load_report,
-        };
         let basis = ResultBasis::Response(status);
-        if result.outcome.may_have_taken_effect() {
+        let result = AttemptResult::from(decoded);
+        if result.outcome == Outcome::Delivered {
             self.report(result, basis).await;
             if let Ok(_permit) = self.context.body_permits.try_acquire() {
                 rest_of_body.await;
             }
-        } else {
-            let body_end = rest_of_body.await;
-            self.report(result.confirmed_by(body_end), basis).await;
+            return;
+        }
+        let body_end = rest_of_body.await;
+        drop(connection);
+        stream.wait_until_closed().await;
+        self.report(result.confirmed_by(body_end), basis).await;
+    }
+
+    /// Returns the instant until which the response body is read: at most until the deadline of the message, whose final
+    /// answer is due then.
+    fn body_deadline(&self, outcome: Outcome) -> Instant {
+        let timeout = match outcome {
+            Outcome::Error => ERROR_BODY_TIMEOUT,
+            _ => BODY_TIMEOUT,
+        };
+        let deadline = Instant::now() + timeout;
+        match self.message_deadline {
+            Some(message_deadline) => deadline.min(message_deadline),
+            None => deadline,
         }
     }
 
--- a/crates/forwarder/src/endpoints/exchange.rs
+++ b/crates/forwarder/src/endpoints/exchange.rs
@@ -37,6 +37,8 @@
         response: Response<Incoming>,
         /// The connection that carries the response.
         connection: UsedConnection,
+        /// The state of the stream under the connection.
+        stream: Arc<StreamState>,
     },
     /// Only a status line with status 200 was received. The rest of the head was missing or invalid.
     DeliveredStatusOnly,
@@ -79,30 +81,46 @@
     }
 
     /// Sends the request and waits for the response head. Fails on a deadline, a stop request, a stalled response head or
-    /// the loss of the connection.
+    /// the loss of the connection; the connection is closed then.
     pub async fn run(
         self,
         mut stop_requests: watch::Receiver<StopRequest>,
+    ) -> Result<ExchangeResult, AttemptError> {
+        let result = self.send_until_stopped(&mut stop_requests).await;
+        let Err(error) = result else { return result };
+        self.wait_until_closed().await;
+        // A status line with status 200 confirms the delivery, even if the rest of the response is missing or invalid.
+        if self.response_progress() == Some(ResponseProgress::Status(DELIVERED_STATUS)) {
+            return Ok(ExchangeResult::DeliveredStatusOnly);
+        }
+        Err(error)
+    }
+
+    /// Sends the request until it has a response head, fails or is aborted. If it fails, its connection is dropped.
+    async fn send_until_stopped(
+        &self,
+        stop_requests: &mut watch::Receiver<StopRequest>,
     ) -> Result<ExchangeResult, AttemptError> {
         let mut request_future = pin!(self.send());
         let ended = tokio::select! {
             biased;
             result = &mut request_future => Ok(result),
             () = tokio::time::sleep_until(self.deadlines.response_deadline) => Err(FailureCause::TimedOut),
-            cause = self.wait_for_stop(&mut stop_requests) => Err(cause),
+            cause = self.wait_for_stop(stop_requests) => Err(cause),
             () = self.wait_for_stalled_head() => Err(FailureCause::ConnectionLost),
         };
-        let result = match ended {
+        match ended {
             Ok(result) => result,
             Err(cause) => self.abort(cause, request_future).await,
-        };
-        // A status line with status 200 confirms the delivery, even if the rest of the response is missing or invalid.
-        if result.is_err()
-            && self.response_progress() == Some(ResponseProgress::Status(DELIVERED_STATUS))
-        {
-            return Ok(ExchangeResult::DeliveredStatusOnly);
         }
-        result
+    }
+
+    /// Waits until the connection, which must have been dropped, is closed. Until then the call is out.
+    async fn wait_until_closed(&self) {
+        let stream = self.stream.borrow().clone();
+        if let Some(stream) = stream {
+            stream.wait_until_closed().await;
+        }
     }
 
     /// Opens a connection and sends the request. Checks the send deadline before and after the connection is opened: a
@@ -117,11 +135,13 @@
             Err(_) => return Err(send_deadline_passed()),
         };
         self.check_send_deadline()?;
-        self.stream.send_replace(Some(connection.stream_state()));
+        let stream = connection.stream_state();
+        self.stream.send_replace(Some(stream.clone()));
         let (response, connection) = connection.send().await?;
         Ok(ExchangeResult::Response {
             response,
             connection,
+            stream,
         })
     }
 
--- a/crates/forwarder/src/endpoints/golden_tests.rs
+++ b/crates/forwarder/src/endpoints/golden_tests.rs
@@ -2,7 +2,7 @@
 //! and the events that each recorded response is decoded to.
 
 use super::*;
-use crate::commands::{AttemptRequest, EndpointCommand};
+use crate::commands::{AttemptRequest, AttemptTimes, EndpointCommand};
 use crate::golden_cases::{text, GoldenCases};
 use bytes::Bytes;
 use opalpulley::{EndpointId, MessageId, Outcome};
@@ -77,12 +77,15 @@
                 .expect("the input has a body")
                 .to_owned(),
         ),
-        timeout: Duration::from_micros(
-            input["attempt timeout us"]
-                .as_u64()
-                .expect("the input has an attempt timeout"),
-        ),
-        send_by: Instant::now() + TEST_TIMEOUT,
+        times: AttemptTimes {
+            timeout: Duration::from_micros(
+                input["attempt timeout us"]
+                    .as_u64()
+                    .expect("the input has an attempt timeout"),
+            ),
+            send_by: Instant::now() + TEST_TIMEOUT,
+            deadline: Instant::now() + TEST_TIMEOUT,
+        },
     };
     EndpointCommand::StartAttempt(Box::new(attempt))
 }
--- a/crates/forwarder/src/endpoints/stream.rs
+++ b/crates/forwarder/src/endpoints/stream.rs
@@ -46,6 +46,8 @@
     request_bytes: u64,
     bytes_written: AtomicU64,
     response: watch::Sender<ResponseProgress>,
+    /// Its only receiver belongs to the stream and is dropped after the socket.
+    open: watch::Sender<()>,
 }
 
 impl StreamState {
@@ -54,6 +56,7 @@
             request_bytes,
             bytes_written: AtomicU64::new(0),
             response: watch::Sender::new(ResponseProgress::NoRequest),
+            open: watch::Sender::new(()),
         }
     }
 
@@ -72,6 +75,11 @@
         *self.response.borrow()
     }
 
+    /// Waits until the socket is closed. The caller must have dropped the connection.
+    pub async fn wait_until_closed(&self) {
+        self.open.closed().await;
+    }
+
     /// Waits until a response has been in progress for `timeout`. The caller must drop this future when the response head is
     /// complete. A 1xx head restarts the wait.
     pub async fn wait_for_stalled_head(&self, timeout: Duration) {
@@ -118,6 +126,8 @@
     socket: TcpStream,
     state: Arc<StreamState>,
     filter: ResponseFilter,
+    /// Declared after the socket, so that it is dropped once the socket is closed.
+    _open: watch::Receiver<()>,
 }
 
 impl EndpointStream {
@@ -128,6 +138,7 @@
             socket,
             state: state.clone(),
             filter: ResponseFilter::new(),
+            _open: state.open.subscribe(),
         };
         (stream, state)
     }
--- a/crates/forwarder/src/endpoints/tests.rs
+++ b/crates/forwarder/src/endpoints/tests.rs
@@ -1,13 +1,14 @@
 //! Tests of an endpoint's actor against an endpoint on a loopback socket.
 
 mod attempts;
+mod call_end;
 mod connections;
 mod response_filter;
 mod responses;
 
 use super::attempt::{InFlightRequest, RequestPurpose, StopRequest};
 use super::*;
-use crate::commands::{AttemptRequest, EndpointCommand};
+use crate::commands::{AttemptRequest, AttemptTimes, EndpointCommand};
 use crate::protocol;
 use bytes::Bytes;
 use opalpulley::{EndpointId, MessageId, Micros, Outcome};
@@ -20,6 +21,8 @@
 
 const OK_RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 const IDLE_TIMEOUT: Micros = 400_000;
+/// Time until the deadline of a message, unless a test sets another one.
+const MESSAGE_TIME_LEFT: Duration = Duration::from_secs(60);
 
 struct TestFixture {
     listener: TcpListener,
@@ -81,20 +84,39 @@
             .await;
     }
 
+    /// Starts an attempt at a message whose deadline is `deadline_ms` from now.
+    async fn start_attempt_with_deadline(&mut self, deadline_ms: u64) {
+        let deadline = Duration::from_millis(deadline_ms);
+        let times = AttemptTimes {
+            timeout: deadline,
+            send_by: Instant::now() + deadline,
+            deadline: Instant::now() + deadline,
+        };
+        self.start_attempt_with_times(&Bytes::new(), times).await;
+    }
+
     async fn start_attempt_with_send_limit(
         &mut self,
         body: &Bytes,
         timeout_ms: u64,
         send_within_ms: u64,
     ) {
+        let times = AttemptTimes {
+            timeout: Duration::from_millis(timeout_ms),
+            send_by: Instant::now() + Duration::from_millis(send_within_ms),
+            deadline: Instant::now() + MESSAGE_TIME_LEFT,
+        };
+        self.start_attempt_with_times(body, times).await;
+    }
+
+    async fn start_attempt_with_times(&mut self, body: &Bytes, times: AttemptTimes) {
         let attempt = AttemptRequest {
             id: MessageId(1),
             attempt_index: self.attempts_started,
             request_id: "9b1f03aa5c7e2d41".into(),
             idempotency_key: Some("5c0f6e1a".into()),
             body: body.clone(),
-            timeout: Duration::from_millis(timeout_ms),
-            send_by: Instant::now() + Duration::from_millis(send_within_ms),
+            times,
         };
         self.attempts_started += 1;
         self.mailbox
--- a/crates/forwarder/tests/program/main.rs
+++ b/crates/forwarder/tests/program/main.rs
@@ -3,6 +3,7 @@
 #[path = "../common/mod.rs"]
 mod common;
 
+mod calls_out;
 mod configuration;
 mod connections;
 mod endpoint_list;
