Laboratory: outages of discovery with restarts, and errors whose bodies keep coming

Change: `discovery-down` (agents leave requests for the list unanswered, updates are withheld, restarted forwarders get the list that they knew last as `known`; simulated too) and `errors-endless` (the oracle counts the call as out until its forwarder closes the connection).

--- a/crates/forwarder/tests/scenarios.rs
+++ b/crates/forwarder/tests/scenarios.rs
@@ -67,6 +67,45 @@
     assert_rules_hold(&run_on_sockets(&scenario, 1), 0.8);
 }
 
+/// Guards against a message that is sent again while its earlier call is out: errors whose bodies keep coming, until the
+/// forwarder closes their connections.
+#[test]
+fn sends_no_second_copy_while_an_error_keeps_coming() {
+    let scenario = scenario(
+        "4s",
+        "[forwarders]\ncount = 1\n[[destinations]]\nname = \"d\"\ncount = 4\ntargets = 2\nrate = 60.0\nlimited = false\n\
+         service = { kind = \"exponential\", mean = \"30ms\" }\n[[loads]]\nrate = 40.0\n\
+         [[troubles]]\nat = \"0s\"\nlasts = \"3s\"\nwhat = { kind = \"errors-endless\", rate = 0.2 }\n",
+    );
+    let outcome = run_on_sockets(&scenario, 1);
+    assert_rules_hold(&outcome, 0.8);
+    assert!(
+        outcome.counts.outcomes.contains_key("error"),
+        "expected errors, got {:?}",
+        outcome.counts
+    );
+}
+
+/// Forwarders restart while discovery is down. They accept messages, and send them once discovery has answered.
+#[test]
+fn serves_the_messages_of_a_restart_after_an_outage_of_discovery() {
+    let scenario = scenario(
+        "5s",
+        "[forwarders]\ncount = 2\n[[destinations]]\nname = \"d\"\ncount = 3\ntargets = 2\nrate = 60.0\nlimited = false\n\
+         service = { kind = \"exponential\", mean = \"30ms\" }\n[[loads]]\nrate = 40.0\n\
+         [[troubles]]\nat = \"1s\"\nlasts = \"3s\"\nwhat = { kind = \"discovery-down\" }\n\
+         [[troubles]]\nat = \"1500ms\"\nlasts = \"500ms\"\nwhat = { kind = \"killed\", folder = true }\non = { forwarders = [0] }\n",
+    );
+    let outcome = run_on_sockets(&scenario, 1);
+    assert_rules_hold(&outcome, 0.9);
+    let unanswered = outcome.counts.outcomes.get("list request: unanswered");
+    assert!(
+        unanswered.is_some_and(|count| *count > 0),
+        "expected unanswered requests for the list, got {:?}",
+        outcome.counts
+    );
+}
+
 /// Rejections, silence, invalid responses and retry-after on sockets, compared with a simulation of the same scenario.
 #[test]
 fn sockets_and_simulation_agree_under_faults() {
--- a/crates/lab/src/receivers/endpoint.rs
+++ b/crates/lab/src/receivers/endpoint.rs
@@ -314,6 +314,7 @@
         FaultKind::AnswerLost { rate } => Some((*rate, ReceiverReply::Silent)),
         FaultKind::Garbled { rate } => Some((*rate, ReceiverReply::Garbled)),
         FaultKind::Endless { rate } => Some((*rate, ReceiverReply::Endless)),
+        FaultKind::EndlessErrors { rate } => Some((*rate, ReceiverReply::EndlessError)),
         _ => None,
     }
 }
--- a/crates/lab/src/receivers/reply.rs
+++ b/crates/lab/src/receivers/reply.rs
@@ -51,6 +51,8 @@
     Garbled,
     /// A 200 response with a body that never ends.
     Endless,
+    /// A 500 response with a body that never ends.
+    EndlessError,
 }
 
 impl ReceiverReply {
--- a/crates/lab/src/receivers/tests.rs
+++ b/crates/lab/src/receivers/tests.rs
@@ -292,6 +292,11 @@
             ReceiverReply::Endless,
             true,
         ),
+        (
+            FaultKind::EndlessErrors { rate: 1.0 },
+            ReceiverReply::EndlessError,
+            true,
+        ),
         (
             FaultKind::Shut,
             ReceiverReply::TooManyRequests {
--- a/crates/lab/src/scenario/fault.rs
+++ b/crates/lab/src/scenario/fault.rs
@@ -54,6 +54,9 @@
     Garbled { rate: f64 },
     /// Responses begin and never end.
     Endless { rate: f64 },
+    /// Calls take effect, and get an error whose body never ends.
+    #[serde(rename = "errors-endless")]
+    EndlessErrors { rate: f64 },
     /// The endpoint rejects calls with a 429 whose retry-after time is the rest of the fault; afterwards it warms up.
     Shut,
     /// The endpoint alternates between refusing connections (`down`) and serving calls (`up`).
@@ -70,6 +73,9 @@
     Drain,
     /// Discovery withholds list updates until the end of the fault.
     Stale,
+    /// Discovery is down: it withholds list updates, and agents leave requests for the list unanswered until the end of the
+    /// fault. A process that starts meanwhile has only the list that its forwarder knew last.
+    DiscoveryDown,
     /// Discovery sends a list that is marked as complete but lacks the share `missing` of the entries, and sends the complete
     /// list at the end of the fault.
     Partial { missing: f64 },
@@ -100,7 +106,8 @@
             | FaultKind::AnswerLost { rate }
             | FaultKind::Garbled { rate }
             | FaultKind::RejectionsTruncated { rate }
-            | FaultKind::Endless { rate } => Some(*rate),
+            | FaultKind::Endless { rate }
+            | FaultKind::EndlessErrors { rate } => Some(*rate),
             FaultKind::Partial { missing } => Some(*missing),
             FaultKind::Brownout { capacity_left } => Some(*capacity_left),
             _ => None,
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -91,6 +91,8 @@
     connection_rng: Pcg64Mcg,
     /// Instant until which discovery sends no updates, µs.
     discovery_stale_until: Micros,
+    /// Time until which processes that start get no confirmed list, in µs.
+    discovery_down_until: Micros,
     /// Instant at which discovery will have answered all queued polls, µs.
     discovery_busy_until: Micros,
     /// Number of faults that have not ended.
@@ -157,6 +159,7 @@
             discovery_rng: seeded_rng(seed, "lags", 0),
             connection_rng: seeded_rng(seed, "lateness", 0),
             discovery_stale_until: 0,
+            discovery_down_until: 0,
             discovery_busy_until: 0,
             pending_faults: 0,
             stats: RunStats::default(),
--- a/crates/lab/src/sim/attempts.rs
+++ b/crates/lab/src/sim/attempts.rs
@@ -395,7 +395,7 @@
         ReceiverReply::Served | ReceiverReply::ServedThenReset | ReceiverReply::Endless => {
             Outcome::Delivered
         }
-        ReceiverReply::InternalError => Outcome::Error,
+        ReceiverReply::InternalError | ReceiverReply::EndlessError => Outcome::Error,
         ReceiverReply::TooManyRequests { retry_after } => Outcome::Rejected { retry_after },
         ReceiverReply::Overloaded => Outcome::Rejected { retry_after: None },
         ReceiverReply::Refused | ReceiverReply::ClosedEarly => Outcome::NoConnection,
--- a/crates/lab/src/sim/faults.rs
+++ b/crates/lab/src/sim/faults.rs
@@ -28,10 +28,18 @@
             (FaultKind::Stale, true) => {
                 self.discovery_stale_until = self.discovery_stale_until.max(fault.ends_at())
             }
+            (FaultKind::DiscoveryDown, true) => {
+                self.discovery_stale_until = self.discovery_stale_until.max(fault.ends_at());
+                self.discovery_down_until = self.discovery_down_until.max(fault.ends_at());
+            }
             (FaultKind::Partial { missing }, true) => self.send_partial_list(*missing),
             (FaultKind::Partial { .. }, false) => self.send_partial_list(0.0),
             (
-                FaultKind::Killed { .. } | FaultKind::Paused | FaultKind::Drain | FaultKind::Stale,
+                FaultKind::Killed { .. }
+                | FaultKind::Paused
+                | FaultKind::Drain
+                | FaultKind::Stale
+                | FaultKind::DiscoveryDown,
                 false,
             ) => {}
             (kind, begins) => {
--- a/crates/lab/src/sim/simulated_process.rs
+++ b/crates/lab/src/sim/simulated_process.rs
@@ -135,7 +135,8 @@
 }
 
 impl Sim {
-    /// Starts a process with the endpoint list that it knew last. A process that knows none gets the current list.
+    /// Starts a process with the endpoint list that it knew last. A process that knows none gets the current list. While
+    /// discovery is down, the list is withheld as on sockets: it is not confirmed.
     pub(super) fn start_process(&mut self, forwarder: u32) {
         let incarnation = self.processes[forwarder as usize].incarnation;
         let rng_index = u64::from(forwarder) << 32 | u64::from(incarnation);
@@ -148,7 +149,11 @@
             let list = Sim::complete_list(&self.layout, &self.scenario, &self.listed_endpoints);
             process.known_endpoints = list.into_iter().enumerate().collect();
         }
-        let list = process.known_endpoints.values().cloned().collect();
+        let list = if self.now < self.discovery_down_until {
+            Vec::new()
+        } else {
+            process.known_endpoints.values().cloned().collect()
+        };
         let cached = Event::EndpointListUpdated(EndpointListUpdate::Cached(list));
         self.run_forwarder(forwarder, cached, None);
     }
--- a/crates/lab/src/sockets/agents.rs
+++ b/crates/lab/src/sockets/agents.rs
@@ -1,6 +1,7 @@
 //! Simulates the platform. Each forwarder has an agent that serves the endpoint list and receives completion reports.
 
 use super::endpoints::StandInEndpoint;
+use super::timeline::lock;
 use super::wire::{HttpConnection, HttpMessage, ReservedPort};
 use super::RunContext;
 use crate::oracle::FinalAnswer;
@@ -10,6 +11,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -19,6 +21,8 @@
 const MAX_KEPT_CHANGES: usize = 256;
 /// Upper bound on the wait of a watch, in ms.
 const MAX_WATCH_MS: u64 = 60_000;
+/// Name of the count of requests for the list that were received while discovery was down.
+const UNANSWERED_LIST_REQUEST: &str = "list request: unanswered";
 /// Names of the zones in the endpoint list, by zone number.
 const ZONE_NAMES: [&str; 2] = ["a", "b"];
 
@@ -126,6 +130,10 @@
     list: Mutex<ListState>,
     /// Revision of the list, on which watches wait.
     revision: watch::Sender<u64>,
+    /// Whether requests for the list stay unanswered.
+    silent: AtomicBool,
+    /// The complete list as the forwarder knew it last, in the format of the platform's protocol.
+    known_list: Mutex<Option<Value>>,
     stand_ins: Vec<Arc<StandInEndpoint>>,
 }
 
@@ -189,6 +197,8 @@
             forwarder,
             list: Mutex::new(list),
             revision: watch::Sender::new(1),
+            silent: AtomicBool::new(false),
+            known_list: Mutex::new(None),
             stand_ins: stand_ins.to_vec(),
         });
         tokio::spawn(agent.clone().accept_connections(context.clone(), listener));
@@ -222,6 +232,20 @@
         self.list.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Sets whether requests for the list stay unanswered.
+    pub fn set_silent(&self, silent: bool) {
+        self.silent.store(silent, Ordering::Relaxed);
+    }
+
+    fn is_silent(&self) -> bool {
+        self.silent.load(Ordering::Relaxed)
+    }
+
+    /// Returns the complete list as the forwarder knew it last.
+    pub fn known_list(&self) -> Option<Value> {
+        lock(&self.known_list).clone()
+    }
+
     /// Applies changes to the list and wakes the watches.
     pub fn apply_changes(&self, changes: &[ListChange]) {
         let mut list = self.lock_list();
@@ -267,6 +291,10 @@
         let members = entries.iter().map(|entry| self.member(context, entry));
         let members: Vec<Value> = members.collect();
         let response = json!({"revision": list.revision, "complete": complete, "members": members});
+        let all_members = list.all_entries();
+        let all_members = all_members.iter().map(|entry| self.member(context, entry));
+        let known_list = json!({"revision": list.revision, "complete": true, "members": all_members.collect::<Vec<_>>()});
+        lock(&self.known_list).replace(known_list);
         drop(list);
         if complete && from_revision.is_some() {
             self.notify_oracle_of_removed(context, &entries);
@@ -335,6 +363,10 @@
             let wait_ms = query_parameter(query, "wait=").unwrap_or(0);
             self.wait_for_change(from_revision, wait_ms).await;
         }
+        if self.is_silent() {
+            count_unanswered_request(context);
+            return wait_until_closed(conn).await;
+        }
         let list = self.list_response(context, from_revision);
         conn.respond("200 OK", "", &list).await
     }
@@ -377,6 +409,17 @@
     }
 }
 
+fn count_unanswered_request(context: &RunContext) {
+    let mut state = context.lock_state();
+    state.tally.count_outcome(UNANSWERED_LIST_REQUEST);
+}
+
+/// Leaves a request unanswered until the forwarder closes its connection, and fails then.
+async fn wait_until_closed(conn: &mut HttpConnection) -> io::Result<()> {
+    while conn.read_request().await?.is_some() {}
+    Err(io::ErrorKind::ConnectionAborted.into())
+}
+
 /// Returns the numeric value of a query parameter; `name` includes the equals sign.
 fn query_parameter(query: &str, name: &str) -> Option<u64> {
     let mut parts = query.split('&');
--- a/crates/lab/src/sockets/calls.rs
+++ b/crates/lab/src/sockets/calls.rs
@@ -174,6 +174,13 @@
         call.record_end(&mut state, CallEffect::Possible);
         return None;
     }
+    call.record_lateness(context, now);
+    if result.reply == ReceiverReply::EndlessError {
+        // The call is out until its forwarder closes the connection.
+        write_response(context, conn, result).await;
+        call.record_response(context, context.now());
+        return None;
+    }
     call.record_response(context, now);
     write_response(context, conn, result).await
 }
@@ -195,11 +202,16 @@
         );
     }
 
-    /// Records in the tally and the oracle that the response is sent at `now`.
-    fn record_response(&self, context: &RunContext, now: Micros) {
-        let mut state = context.lock_state();
+    /// Records by how much the response, which begins at `now`, is late.
+    fn record_lateness(&self, context: &RunContext, now: Micros) {
         let lateness = now.saturating_sub(self.result.reply_at);
+        let mut state = context.lock_state();
         state.receiver_lateness.saturating_record(lateness.max(1));
+    }
+
+    /// Records in the tally and the oracle that the call ends with its response at `now`.
+    fn record_response(&self, context: &RunContext, now: Micros) {
+        let mut state = context.lock_state();
         let (outcome, bucket_event, took_effect) = classify_reply(self.result.reply);
         state.tally.count_outcome(outcome);
         state.tally.count(now, bucket_event);
@@ -233,7 +245,9 @@
             BucketEvent::CallSucceeded,
             CallEffect::Possible,
         ),
-        ReceiverReply::InternalError => ("error", BucketEvent::CallFailed, CallEffect::Possible),
+        ReceiverReply::InternalError | ReceiverReply::EndlessError => {
+            ("error", BucketEvent::CallFailed, CallEffect::Possible)
+        }
         ReceiverReply::TooManyRequests { .. } | ReceiverReply::Overloaded => {
             ("refused", BucketEvent::CallRejected, CallEffect::None)
         }
--- a/crates/lab/src/sockets/processes.rs
+++ b/crates/lab/src/sockets/processes.rs
@@ -4,6 +4,7 @@
 use crate::scenario::Scenario;
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
+use serde_json::Value;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -56,6 +57,8 @@
     setup: ProcessSetup,
     /// Number of times that the process has been started; part of the seed of the next start.
     start_count: u64,
+    /// The endpoint list that the forwarder knew last, as the start-up configuration states it. `None` before the first one.
+    known_list: Option<Value>,
     child: Option<Child>,
 }
 
@@ -65,10 +68,16 @@
         ForwarderProcess {
             setup,
             start_count: 0,
+            known_list: None,
             child: None,
         }
     }
 
+    /// Sets the endpoint list with which the process is started next.
+    pub fn set_known_list(&mut self, known_list: Option<Value>) {
+        self.known_list = known_list;
+    }
+
     /// Starts the process and waits until it accepts messages. Fails if the program can't be started, exits, or isn't up within
     /// 10 s.
     pub async fn start(&mut self) -> Result<(), SocketsError> {
@@ -106,6 +115,9 @@
         let mut config = setup.scenario.startup_config(setup.forwarder, seed);
         config["listen"] = setup.listen.to_string().into();
         config["discovery"] = setup.discovery.to_string().into();
+        if let Some(known_list) = &self.known_list {
+            config["known"] = known_list.clone();
+        }
         config.to_string()
     }
 
--- a/crates/lab/src/sockets/replies.rs
+++ b/crates/lab/src/sockets/replies.rs
@@ -12,6 +12,8 @@
 const GARBLED: &[u8] = b"\x16\x03\x01 not what was asked for \xff\xfe\r\n\r\n";
 /// Head of a response whose body never ends.
 const ENDLESS_HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n";
+/// Head of an error whose body never ends.
+const ENDLESS_ERROR_HEAD: &[u8] = b"HTTP/1.1 500 Error\r\nContent-Length: 3000000000\r\n\r\n";
 /// Delay between a part of a faulty response and the next part, or the reset of the connection.
 const WRITE_INTERVAL: Duration = Duration::from_millis(2);
 
@@ -51,7 +53,8 @@
                 .await
         }
         ReceiverReply::Garbled => conn.write(GARBLED).await,
-        ReceiverReply::Endless => write_endless(&mut conn).await,
+        ReceiverReply::Endless => write_endless(&mut conn, ENDLESS_HEAD).await,
+        ReceiverReply::EndlessError => write_endless(&mut conn, ENDLESS_ERROR_HEAD).await,
         _ => Ok(()),
     };
     match reply {
@@ -60,14 +63,14 @@
             tokio::time::sleep(WRITE_INTERVAL).await;
             conn.reset();
         }
-        ReceiverReply::Endless => {}
+        ReceiverReply::Endless | ReceiverReply::EndlessError => {}
         _ => conn.reset(),
     }
 }
 
 /// Writes a response whose body never ends, until the forwarder closes the connection.
-async fn write_endless(conn: &mut HttpConnection) -> io::Result<()> {
-    conn.write(ENDLESS_HEAD).await?;
+async fn write_endless(conn: &mut HttpConnection, head: &[u8]) -> io::Result<()> {
+    conn.write(head).await?;
     loop {
         tokio::time::sleep(WRITE_INTERVAL).await;
         conn.write(&[b'x'; 512]).await?;
--- a/crates/lab/src/sockets/timeline.rs
+++ b/crates/lab/src/sockets/timeline.rs
@@ -130,9 +130,12 @@
             }
             FaultKind::Paused => self.play_pause(&fault, &forwarders).await,
             FaultKind::Drain => self.play_drain(&fault, &endpoints).await,
-            FaultKind::Stale => {
-                let mut until = lock(&self.stale_until);
-                *until = (*until).max(self.begins_at + fault.ends_at());
+            FaultKind::Stale => self.withhold_updates(&fault),
+            FaultKind::DiscoveryDown => {
+                self.withhold_updates(&fault);
+                self.set_agents_silent(true);
+                self.sleep_until(fault.ends_at()).await;
+                self.set_agents_silent(false);
             }
             FaultKind::Partial { missing } => {
                 self.send_partial_list(*missing);
@@ -147,6 +150,18 @@
         }
     }
 
+    /// Withholds updates of the list until the end of the fault.
+    fn withhold_updates(&self, fault: &Fault) {
+        let mut until = lock(&self.stale_until);
+        *until = (*until).max(self.begins_at + fault.ends_at());
+    }
+
+    fn set_agents_silent(&self, silent: bool) {
+        for agent in &self.fleet.agents {
+            agent.set_silent(silent);
+        }
+    }
+
     fn set_receiver_fault(
         &self,
         fault_index: usize,
@@ -240,7 +255,11 @@
     }
 
     async fn restart_process(&self, forwarder: u32) {
-        let started = self.process(forwarder).lock().await.start().await;
+        let known_list = self.fleet.agents[forwarder as usize].known_list();
+        let mut process = self.process(forwarder).lock().await;
+        process.set_known_list(known_list);
+        let started = process.start().await;
+        drop(process);
         match started {
             Ok(()) => {
                 self.excuse_during_restart(forwarder);
