Attempts at at-most-once messages are journalled once their connection is open

Cause: the start of an attempt is journalled as the core decides on it. A restart counts each attempt without an outcome as one that may have taken effect, and such a message is not sent again.

Change: for at-most-once messages the dispatcher journals the start when the attempt's connection is open, and then permits its first byte (endpoints/start_gate.rs).

--- a/crates/forwarder/src/commands.rs
+++ b/crates/forwarder/src/commands.rs
@@ -45,6 +45,16 @@
     /// The agent of the endpoint list is no longer in charge, and its successor has sent no list in time. Nothing may be
     /// sent by the list until the next update.
     SuspendEndpointList,
+    /// The connection of an attempt is open, whose start is not journalled yet. It is journalled before `permit` is used;
+    /// a dropped permit forbids the attempt to write any byte.
+    AttemptConnected {
+        /// The message of the attempt.
+        id: MessageId,
+        /// Index of the attempt among those at the message, from 0.
+        attempt_index: u8,
+        /// Permits the first byte of the request.
+        permit: oneshot::Sender<()>,
+    },
     /// The platform acknowledged the completion reports with these serial numbers.
     CompletionReportsAcknowledged(Vec<u64>),
 }
@@ -107,10 +117,22 @@
     pub idempotency_key: Option<String>,
     /// The body of the message.
     pub body: Bytes,
+    /// When the start of the attempt is journalled.
+    pub journalled: AttemptJournalling,
     /// The times that bound the attempt.
     pub times: AttemptTimes,
 }
 
+/// When the start of an attempt is journalled. It always is before the first byte of its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptJournalling {
+    /// Before the attempt is passed to the endpoint's actor.
+    BeforeStart,
+    /// Once its connection is open, so that a restart can tell an attempt without a connection from one that may have
+    /// taken effect.
+    OnceConnected,
+}
+
 /// The times that bound an attempt.
 #[derive(Clone, Copy, Debug)]
 pub struct AttemptTimes {
--- a/crates/forwarder/src/dispatcher.rs
+++ b/crates/forwarder/src/dispatcher.rs
@@ -194,6 +194,11 @@
                 self.update_endpoint_list(update);
             }
             DispatcherCommand::SuspendEndpointList => self.suspend_endpoint_list(),
+            DispatcherCommand::AttemptConnected {
+                id,
+                attempt_index,
+                permit,
+            } => self.journal_connected_attempt(id, attempt_index, permit),
             DispatcherCommand::Event(mut event) => {
                 self.record_attempt_end(&mut event);
                 self.handle_event(event);
--- a/crates/forwarder/src/dispatcher/endpoints/tests.rs
+++ b/crates/forwarder/src/dispatcher/endpoints/tests.rs
@@ -1,7 +1,7 @@
 //! Tests that actors run while their endpoints are in use, and that no command is lost when an actor is replaced.
 
 use super::*;
-use crate::commands::{AttemptRequest, AttemptTimes, DispatcherCommand};
+use crate::commands::{AttemptJournalling, AttemptRequest, AttemptTimes, DispatcherCommand};
 use opalpulley::{Event, MessageId, Outcome};
 use opalpulley_config::{ConnectionConfig, Names};
 use std::time::Duration;
@@ -55,6 +55,7 @@
         request_id: format!("r-{attempt_index}"),
         idempotency_key: None,
         body: bytes::Bytes::from_static(b"body"),
+        journalled: AttemptJournalling::BeforeStart,
         times: AttemptTimes {
             timeout: Duration::from_secs(5),
             send_by: tokio::time::Instant::now() + Duration::from_secs(5),
--- a/crates/forwarder/src/dispatcher/unfinished_messages.rs
+++ b/crates/forwarder/src/dispatcher/unfinished_messages.rs
@@ -63,6 +63,8 @@
     pub attempt_index: u8,
     /// The endpoint to which the attempt was sent.
     pub endpoint: EndpointId,
+    /// Whether the start of the attempt is in the journal.
+    pub is_journalled: bool,
 }
 
 /// The unfinished messages, by the core's id and by the client's request id. Owned by the dispatcher.
@@ -103,6 +105,20 @@
         self.messages.get(id)
     }
 
+    /// Returns an outstanding attempt at a message whose ending is not decided, with the serial number of the message.
+    pub fn undecided_attempt(
+        &mut self,
+        id: MessageId,
+        attempt_index: u8,
+    ) -> Option<(u64, &mut OutstandingAttempt)> {
+        let message = self.get_undecided(id)?;
+        let attempt = message
+            .outstanding_attempts
+            .iter_mut()
+            .find(|attempt| attempt.attempt_index == attempt_index)?;
+        Some((message.serial, attempt))
+    }
+
     /// Returns the endpoint of an outstanding attempt.
     pub fn endpoint_of_attempt(&self, id: MessageId, attempt_index: u8) -> Option<EndpointId> {
         let message = self.messages.get(&id)?;
--- a/crates/forwarder/src/endpoints.rs
+++ b/crates/forwarder/src/endpoints.rs
@@ -10,6 +10,7 @@
 mod exchange;
 mod response_body;
 mod response_filter;
+mod start_gate;
 mod stream;
 
 pub use actor::Endpoint;
--- a/crates/forwarder/src/endpoints/actor.rs
+++ b/crates/forwarder/src/endpoints/actor.rs
@@ -5,7 +5,7 @@
 };
 use super::exchange::ExchangeDeadlines;
 use super::EndpointContext;
-use crate::commands::{AttemptRequest, EndpointCommand};
+use crate::commands::{AttemptJournalling, AttemptRequest, EndpointCommand};
 use crate::protocol::{self, EndpointRequest};
 use opalpulley::{EndpointId, Outcome};
 use slog::error;
@@ -27,14 +27,16 @@
     Closed,
 }
 
-/// The times that bound an attempt or health check.
-struct RequestTimes {
+/// The conditions under which an attempt or health check is sent.
+struct RequestConditions {
     /// Upper bound on the time from the start of the request to the head of the response.
     timeout: Duration,
     /// The first byte is written before this instant, or no byte is written.
     send_deadline: Instant,
     /// The deadline of the message. `None` for a health check.
     message_deadline: Option<Instant>,
+    /// When the start of the attempt is journalled.
+    journalled: AttemptJournalling,
 }
 
 /// Sends the attempts and health checks of one endpoint, as the dispatcher commands.
@@ -115,24 +117,26 @@
             attempt_index: attempt.attempt_index,
         };
         let request_id = Some(attempt.request_id);
-        let times = RequestTimes {
+        let conditions = RequestConditions {
             timeout: attempt.times.timeout,
             send_deadline: attempt.times.send_by,
             message_deadline: Some(attempt.times.deadline),
+            journalled: attempt.journalled,
         };
-        self.start_request(purpose, request_id, request, times);
+        self.start_request(purpose, request_id, request, conditions);
     }
 
     fn start_health_check(&mut self) {
         let request = protocol::encode_health_check(self.id);
         let connect_timeout = Duration::from_micros(self.context.config.connect_timeout);
         let timeout = connect_timeout.mul_f64(HEALTH_CHECK_TIMEOUT_FACTOR);
-        let times = RequestTimes {
+        let conditions = RequestConditions {
             timeout,
             send_deadline: Instant::now() + timeout,
             message_deadline: None,
+            journalled: AttemptJournalling::BeforeStart,
         };
-        self.start_request(RequestPurpose::HealthCheck, None, request, times);
+        self.start_request(RequestPurpose::HealthCheck, None, request, conditions);
     }
 
     fn start_request(
@@ -140,7 +144,7 @@
         purpose: RequestPurpose,
         request_id: Option<String>,
         request: Result<EndpointRequest, hyper::http::Error>,
-        times: RequestTimes,
+        conditions: RequestConditions,
     ) {
         let (stop_sender, stop_requests) = watch::channel(StopRequest::Continue);
         let started_at = Instant::now();
@@ -150,10 +154,11 @@
             request_id,
             started_at,
             deadlines: ExchangeDeadlines {
-                send_deadline: times.send_deadline,
-                response_deadline: started_at + times.timeout,
+                send_deadline: conditions.send_deadline,
+                response_deadline: started_at + conditions.timeout,
             },
-            message_deadline: times.message_deadline,
+            message_deadline: conditions.message_deadline,
+            journalled: conditions.journalled,
             context: self.context.clone(),
         };
         let task = self.tasks.spawn(attempt.run(request, stop_requests));
--- a/crates/forwarder/src/endpoints/attempt.rs
+++ b/crates/forwarder/src/endpoints/attempt.rs
@@ -3,9 +3,11 @@
 use super::attempt_error::{AttemptError, AttemptStage, FailureCause};
 use super::exchange::{Exchange, ExchangeDeadlines, ExchangeResult};
 use super::response_body::{read_body, BodyEnd, BODY_TIMEOUT, ERROR_BODY_TIMEOUT};
+use super::start_gate::StartGate;
 use super::stream::StreamState;
 use super::EndpointContext;
 use crate::clock::micros;
+use crate::commands::AttemptJournalling;
 use crate::http_connection::UsedConnection;
 use crate::protocol::{self, EndpointRequest, EndpointResponse};
 use hyper::body::Incoming;
@@ -135,6 +137,9 @@
     pub deadlines: ExchangeDeadlines,
     /// The deadline of the message. `None` for a health check.
     pub message_deadline: Option<Instant>,
+    /// When the start of the attempt is journalled. [`AttemptJournalling::BeforeStart`] for a health check, which is not
+    /// journalled.
+    pub journalled: AttemptJournalling,
     /// State shared with the other endpoint actors.
     pub context: Arc<EndpointContext>,
 }
@@ -172,7 +177,29 @@
 
     fn exchange(&self, request: EndpointRequest) -> Exchange {
         let connect_timeout = Duration::from_micros(self.context.config.connect_timeout);
-        Exchange::new(self.endpoint, request, connect_timeout, self.deadlines)
+        let start_gate = self.start_gate();
+        Exchange::new(
+            self.endpoint,
+            request,
+            connect_timeout,
+            self.deadlines,
+            start_gate,
+        )
+    }
+
+    /// Returns the gate before the first byte, if the start of the attempt is not journalled yet.
+    fn start_gate(&self) -> Option<StartGate> {
+        let RequestPurpose::Attempt { id, attempt_index } = self.purpose else {
+            return None;
+        };
+        if self.journalled == AttemptJournalling::BeforeStart {
+            return None;
+        }
+        Some(StartGate {
+            dispatcher: self.context.dispatcher.clone(),
+            id,
+            attempt_index,
+        })
     }
 
     /// Reports the result of a response whose head was received.
--- a/crates/forwarder/src/endpoints/exchange.rs
+++ b/crates/forwarder/src/endpoints/exchange.rs
@@ -5,6 +5,7 @@
 use super::attempt::StopRequest;
 use super::attempt_error::{AttemptError, AttemptStage, FailureCause};
 use super::connection::EndpointConnection;
+use super::start_gate::StartGate;
 use super::stream::{ResponseProgress, StreamState};
 use crate::http_connection::UsedConnection;
 use crate::protocol::EndpointRequest;
@@ -59,6 +60,9 @@
     request: EndpointRequest,
     connect_timeout: Duration,
     deadlines: ExchangeDeadlines,
+    /// Must be passed before the first byte. `None` if the start of the attempt is journalled already, and for a health
+    /// check.
+    start_gate: Option<StartGate>,
     /// State of the stream that the request is written to. `None` before the connection is open.
     stream: watch::Sender<Option<Arc<StreamState>>>,
 }
@@ -70,12 +74,14 @@
         request: EndpointRequest,
         connect_timeout: Duration,
         deadlines: ExchangeDeadlines,
+        start_gate: Option<StartGate>,
     ) -> Exchange {
         Exchange {
             endpoint,
             request,
             connect_timeout,
             deadlines,
+            start_gate,
             stream: watch::Sender::new(None),
         }
     }
@@ -123,8 +129,8 @@
         }
     }
 
-    /// Opens a connection and sends the request. Checks the send deadline before and after the connection is opened: a
-    /// repeat that is sent late could reach the endpoint outside the deduplication window.
+    /// Opens a connection, has the start of the attempt journalled if it is not yet, and sends the request. Checks the send
+    /// deadline before and after that: a repeat that is sent late could reach the endpoint outside the deduplication window.
     async fn send(&self) -> Result<ExchangeResult, AttemptError> {
         self.check_send_deadline()?;
         let request = self.request.clone();
@@ -134,6 +140,9 @@
             Ok(opened) => opened?,
             Err(_) => return Err(send_deadline_passed()),
         };
+        if let Some(start_gate) = &self.start_gate {
+            start_gate.pass().await?;
+        }
         self.check_send_deadline()?;
         let stream = connection.stream_state();
         self.stream.send_replace(Some(stream.clone()));
--- a/crates/forwarder/src/endpoints/golden_tests.rs
+++ b/crates/forwarder/src/endpoints/golden_tests.rs
@@ -2,7 +2,7 @@
 //! and the events that each recorded response is decoded to.
 
 use super::*;
-use crate::commands::{AttemptRequest, AttemptTimes, EndpointCommand};
+use crate::commands::{AttemptJournalling, AttemptRequest, AttemptTimes, EndpointCommand};
 use crate::golden_cases::{text, GoldenCases};
 use bytes::Bytes;
 use opalpulley::{EndpointId, MessageId, Outcome};
@@ -77,6 +77,7 @@
                 .expect("the input has a body")
                 .to_owned(),
         ),
+        journalled: AttemptJournalling::BeforeStart,
         times: AttemptTimes {
             timeout: Duration::from_micros(
                 input["attempt timeout us"]
--- a/crates/forwarder/src/endpoints/tests.rs
+++ b/crates/forwarder/src/endpoints/tests.rs
@@ -8,7 +8,7 @@
 
 use super::attempt::{InFlightRequest, RequestPurpose, StopRequest};
 use super::*;
-use crate::commands::{AttemptRequest, AttemptTimes, EndpointCommand};
+use crate::commands::{AttemptJournalling, AttemptRequest, AttemptTimes, EndpointCommand};
 use crate::protocol;
 use bytes::Bytes;
 use opalpulley::{EndpointId, MessageId, Micros, Outcome};
@@ -116,6 +116,7 @@
             request_id: "9b1f03aa5c7e2d41".into(),
             idempotency_key: Some("5c0f6e1a".into()),
             body: body.clone(),
+            journalled: AttemptJournalling::BeforeStart,
             times,
         };
         self.attempts_started += 1;
