--- a/crates/forwarder/tests/program/restarts.rs
+++ b/crates/forwarder/tests/program/restarts.rs
@@ -2,7 +2,6 @@
 
 use crate::common::*;
 use std::io::Write;
-use std::net::SocketAddr;
 use std::thread;
 use std::time::{Duration, Instant};
 
