Discovery: a late first list counts although the cached list has a higher revision

While no list is confirmed, a fetch is repeated after 500 ms and continues in the background; its result was dropped if its revision was below that of the cached list. Discovery may have started to count anew, and if it takes over 500 ms to answer, deliveries would have waited for ever.

Change: only a confirmed list makes a late result too old.

Measured: accepts_a_late_first_list_with_a_lower_revision_than_the_cached_one failed before (no list within 2 s) and passes. Two questions to the operators: whether waiting is wanted, and whether a health check may name its target.

--- a/crates/forwarder/src/endpoint_list/watch.rs
+++ b/crates/forwarder/src/endpoint_list/watch.rs
@@ -202,8 +202,9 @@
         self.send_update(update).await
     }
 
-    /// Applies the result of a poll that timed out, unless a later revision is known. The watch continues from the
-    /// revision of that result, so that discovery need not respond to another poll for it.
+    /// Applies the result of a poll that timed out, unless discovery has confirmed a later revision. The revision of a cached
+    /// list does not count: discovery may have started to count anew. The watch continues from the revision of the result,
+    /// so that discovery need not respond to another poll for it.
     async fn apply_late_result(
         &mut self,
         state: &mut WatchState,
@@ -213,11 +214,8 @@
         let Ok(document) = result else {
             return Ok(());
         };
-        let is_older = self
-            .table
-            .revision
-            .is_some_and(|known| known > document.revision);
-        if is_older {
+        let known_revision = self.table.revision.unwrap_or(0);
+        if self.table.is_confirmed() && known_revision > document.revision {
             return Ok(());
         }
         state.watch_wanted = true;
--- a/crates/forwarder/src/endpoint_list/watch/tests.rs
+++ b/crates/forwarder/src/endpoint_list/watch/tests.rs
@@ -193,9 +193,26 @@
 /// request is repeated.
 #[tokio::test]
 async fn accepts_the_response_to_a_first_fetch_that_was_repeated() {
+    assert_slow_first_response_is_accepted(EndpointTable::default()).await;
+}
+
+/// Guards against the same fault after a restart of discovery, whose revisions are below that of the cached list.
+#[tokio::test]
+async fn accepts_a_late_first_list_with_a_lower_revision_than_the_cached_one() {
+    let cached_list = EndpointListDocument {
+        revision: 90,
+        ..known_list()
+    };
+    let mut table = EndpointTable::default();
+    table.restore(cached_list, &names());
+    table.expect_confirmation();
+    assert_slow_first_response_is_accepted(table).await;
+}
+
+async fn assert_slow_first_response_is_accepted(table: EndpointTable) {
     const RESPONSE_DELAY: Duration = Duration::from_millis(1400);
     let (agent, address) = bind_agent().await;
-    let mut fixture = TestFixture::start(address, EndpointTable::default(), false, discard_log());
+    let mut fixture = TestFixture::start(address, table, false, discard_log());
     let (request_sender, mut requests) = mpsc::channel(16);
     tokio::spawn(async move {
         loop {
