Oracle: a response just before the deadline may be read after it, on sockets

Cause: in the trace (p163, time to live 6 s) the endpoint answers 200 some ms before the deadline; the forwarder reads it 3 ms after the deadline, counts it as late and reports the message as failed within the same ms. The order looked reversed, for a violation's time counts from the start of the load and its text gave times of the run (224 ms apart). How many us before the deadline the response was recorded the trace does not hold; by the log, between 0 and 17 ms.

Its test requires a violation at 25,001 us and for any second failure, in place of 1 us. The text of the violation gives spans, and how long before the deadline the first answer was.

--- a/crates/lab/src/oracle/submissions.rs
+++ b/crates/lab/src/oracle/submissions.rs
@@ -4,6 +4,10 @@
 use crate::scenario::DeliverySemantics;
 use opalpulley::Micros;
 
+/// Upper bound on the time by which, on sockets, the record of a response precedes the moment at which its forwarder can read
+/// it, in µs. It is the lateness up to which a run counts.
+const RESPONSE_RECORD_LEAD: Micros = 25_000;
+
 /// The final answer that a client gets for an accepted message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FinalAnswer {
@@ -55,8 +59,8 @@
     /// Whether the message was delivered while its forwarder was down or paused. The forwarder may not have learnt of the
     /// delivery, and may end the message once more.
     pub unacknowledged: bool,
-    /// Whether, on sockets, an endpoint responded at or after the deadline. The forwarder may read the response too late to
-    /// count it, and still owes the final answer.
+    /// Whether, on sockets, an endpoint may have responded at or after the deadline. The forwarder may read the response too
+    /// late to count it, and still owes the final answer.
     pub delivered_late: bool,
     /// Whether no final answer is owed: the message was not accepted, its forwarder was lost with its state folder, or a missing
     /// answer was reported already.
@@ -196,7 +200,10 @@
             }
             Some(ended_at) => {
                 let description = format!(
-                    "message {submission_number}: second final answer {answer:?}; the first was given at {ended_at}"
+                    "message {submission_number}: second final answer {answer:?}, {} us after the first, which came {} us \
+                     before the deadline",
+                    now.saturating_sub(ended_at),
+                    submission.record.deadline.saturating_sub(ended_at)
                 );
                 self.record_violation(Rule::SecondFinalAnswer, now, description);
             }
@@ -205,8 +212,9 @@
                 submission.answer = Some(answer);
                 submission.unacknowledged = !answer_due && answer == FinalAnswer::Served;
                 let deadline = submission.record.deadline;
-                submission.delivered_late =
-                    is_on_sockets && answer == FinalAnswer::Served && now >= deadline;
+                submission.delivered_late = is_on_sockets
+                    && answer == FinalAnswer::Served
+                    && now + RESPONSE_RECORD_LEAD >= deadline;
                 if answer_due && now > deadline + allowed_lateness {
                     let lateness = now - deadline;
                     let description = format!(
--- a/crates/lab/src/oracle/tests.rs
+++ b/crates/lab/src/oracle/tests.rs
@@ -265,7 +265,8 @@
 }
 
 /// Guards against a false violation on sockets under load: an endpoint responded 289 us after the deadline, and 411 us later the
-/// forwarder reported the message as failed, as it had to. The response and the completion report had crossed.
+/// forwarder reported the message as failed, as it had to. The response and the completion report had crossed. A response that
+/// was recorded just before the deadline may be read after it too: in a trace 3 ms after it.
 #[test]
 fn allows_one_failure_after_late_delivery_on_sockets() {
     const DEADLINE: Micros = 10_000_000;
@@ -284,8 +285,10 @@
     assert!(delivered_then_failed(DEADLINE + 289, 1).is_empty());
     let second = [Rule::SecondFinalAnswer];
     assert_eq!(delivered_then_failed(DEADLINE + 289, 2), second);
+    assert!(delivered_then_failed(DEADLINE - 25_000, 1).is_empty());
+    assert_eq!(delivered_then_failed(DEADLINE - 25_000, 2), second);
     assert_eq!(
-        delivered_then_failed(DEADLINE - 1, 1),
+        delivered_then_failed(DEADLINE - 25_001, 1),
         second,
         "expected a violation for a delivery before the deadline"
     );
