Test of the descriptor limit: its premise holds again, and a failed check ends it

One count at one moment came near the bound, while clients were between close and reconnect.

Change: the idle clients end when a check fails. Eight silent endpoints of eight destinations keep eight attempts in flight, and the descriptors are counted over the last second before discovery returns. The bounds are the same.

The other scoped threads of the tests end by themselves after 4 s or with their play.

--- a/crates/forwarder/tests/descriptors.rs
+++ b/crates/forwarder/tests/descriptors.rs
@@ -10,13 +10,20 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
+use std::time::{Duration, Instant};
 
-/// Limit of file descriptors: 8 for attempts, 32 for clients, 16 for idle connections to endpoints, 24 for the program
-/// itself.
+/// Limit of file descriptors: 8 for attempts, 32 for clients, 16 for responses that are still read after the end of their
+/// attempt, 24 for the program itself.
 const DESCRIPTOR_LIMIT: usize = 80;
+/// Number of descriptors for attempts, and of endpoints that never respond: each keeps one attempt in flight.
+const SILENT_ENDPOINT_COUNT: u16 = 8;
+/// Destination of the first silent endpoint.
+const FIRST_SILENT_DESTINATION: u16 = 200;
+/// Time over which the open descriptors are counted, in ms. Clients whose connection is closed are back within it.
+const COUNTED_TIME_MS: u64 = 1_000;
 /// Name of the file with the log of the program, beside its state folder.
 const LOG_FILE: &str = "log";
-/// Number of endpoints. Exceeds the limit of idle connections to endpoints.
+/// Number of endpoints that respond. Exceeds the descriptors for responses.
 const ENDPOINT_COUNT: u16 = 40;
 /// Number of idle clients. Exceeds the limit of file descriptors.
 const IDLE_CLIENT_COUNT: usize = 120;
@@ -43,6 +50,29 @@
     )
 }
 
+/// Ends the idle clients when it is dropped, also by a check that fails: the scope of their thread waits for them.
+struct StopOnDrop<'a>(&'a AtomicBool);
+
+impl Drop for StopOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Counts the open descriptors of the process repeatedly during `COUNTED_TIME_MS`. Returns the largest number.
+fn most_open_descriptors(forwarder: &Forwarder) -> usize {
+    let started_at = Instant::now();
+    let counted_time = Duration::from_millis(COUNTED_TIME_MS);
+    std::iter::repeat_with(|| {
+        sleep_ms(1);
+        let (_, open_descriptors) = forwarder.resource_usage();
+        open_descriptors
+    })
+    .take_while(|_| started_at.elapsed() < counted_time)
+    .max()
+    .expect("the descriptors are counted at least once")
+}
+
 /// Keeps clients connected that send at most one request. A client whose connection is closed reconnects at once.
 fn keep_idle_clients_connected(forwarder: SocketAddr, stop: &AtomicBool) {
     let connect = |n: usize| {
@@ -76,13 +106,17 @@
     }
 }
 
-/// Clients, idle connections to endpoints and attempts use all descriptors available to them while discovery is silent. Once
-/// discovery responds again, the list must be fetched, a message delivered to an endpoint that is new in it, and a failed
-/// message reported.
+/// Clients and attempts use all descriptors available to them while discovery is silent. Once discovery responds again, the
+/// list must be fetched, a message delivered to an endpoint that is new in it, and a failed message reported.
 #[test]
 fn fetches_list_delivers_and_reports_with_all_descriptors_in_use() {
     let (endpoint, request_log) = endpoint_responding_with("200 OK");
-    let (silent_address, _) = silent_endpoint();
+    let silent_destinations =
+        FIRST_SILENT_DESTINATION..FIRST_SILENT_DESTINATION + SILENT_ENDPOINT_COUNT;
+    let silent_members = silent_destinations.clone().map(|cell| {
+        let (address, _) = silent_endpoint();
+        member(address, cell.into(), "Ready")
+    });
     let (rejecting, rejected_request_log) = endpoint_responding_with("503 Full");
     let (endpoints, _logs): (Vec<_>, Vec<_>) = (0..ENDPOINT_COUNT)
         .map(|_| endpoint_responding_with("200 OK"))
@@ -92,10 +126,8 @@
         .zip(100..)
         .map(|(endpoint, cell)| member(*endpoint, cell, "Ready"))
         .collect();
-    members.extend([
-        member(silent_address, 8, "Ready"),
-        member(rejecting, 9, "Ready"),
-    ]);
+    members.extend(silent_members);
+    members.push(member(rejecting, 9, "Ready"));
     let updated_members = [members.clone(), vec![member(endpoint, 7, "Ready")]].concat();
     let silent = Arc::new(AtomicBool::new(false));
     let (is_silent, list_updated) = (silent.clone(), Arc::new(AtomicBool::new(false)));
@@ -125,24 +157,25 @@
             .replace("20000", time_left_ms);
         forwarder.request_status(&head, b"body")
     };
-    // First use up the descriptors for idle connections to endpoints and for attempts.
+    // First use the descriptors for responses once each, and use up those for attempts.
     for cell in 100..100 + ENDPOINT_COUNT {
         wait_until("the message is accepted", || {
             submit(&format!("t{cell}"), cell, "20000") == 202
         });
     }
-    for n in 0..8 {
+    for cell in silent_destinations {
         wait_until("the message is accepted", || {
-            submit(&format!("m{n}"), 8, "20000") == 202
+            submit(&format!("m{cell}"), cell, "20000") == 202
         });
     }
     silent.store(true, Ordering::Relaxed);
     let stop = AtomicBool::new(false);
     thread::scope(|scope| {
+        let _stop_on_drop = StopOnDrop(&stop);
         scope.spawn(|| keep_idle_clients_connected(forwarder.listen, &stop));
         // The open watch times out within 7 s. Attempts to open another one fail while discovery is silent.
-        sleep_ms(8_000);
-        let (_, open_descriptors) = forwarder.resource_usage();
+        sleep_ms(8_000 - COUNTED_TIME_MS);
+        let open_descriptors = most_open_descriptors(&forwarder);
         println!("{open_descriptors} descriptors");
         assert!(
             open_descriptors > DESCRIPTOR_LIMIT / 2 && open_descriptors <= DESCRIPTOR_LIMIT,
@@ -171,7 +204,6 @@
                 .iter()
                 .any(|request| String::from_utf8_lossy(&request.body).contains("\"end\""))
         });
-        stop.store(true, Ordering::Relaxed);
     });
     let log =
         std::fs::read_to_string(state.with_file_name(LOG_FILE)).expect("the log file is readable");
