Discovery: a polled list is confirmed after failed polls and after a new count of revisions

Cause: a watch of the cached list that is answered with a lower revision confirms nothing. It was followed by further watches alone, so that deliveries would have waited for ever where discovery has started to count anew. And only the very first watch asked for an answer at once: after a failed poll the next one waited 2 s for a change before it confirmed.

Change: an answer with a lower revision leads to a fetch of the complete list, which counts whatever its revision. The watch after a failure asks for an answer at once too, as long as the list is unconfirmed.

Measured: fetches_the_polled_list_if_discovery_counts_its_revisions_anew (a second watch in place of a fetch) and watch_after_a_failed_poll_confirms_an_unchanged_polled_list (wait=2000 in place of 0) failed before and pass; the tests of polled lists and of the program pass, 5 and 30. That a real discovery counts anew was not seen.

--- a/crates/forwarder/src/endpoint_list/watch.rs
+++ b/crates/forwarder/src/endpoint_list/watch.rs
@@ -157,9 +157,9 @@
         let Some(revision) = self.table.revision.filter(|_| !state.fetch_wanted) else {
             return timeouts.fetch(self.table.is_confirmed());
         };
-        let is_first_watch = std::mem::replace(&mut state.is_first_watch, false);
+        let confirmation_wanted = std::mem::take(&mut state.confirmation_wanted);
         // An answer without changes confirms the list as well.
-        if is_first_watch && self.table.is_unconfirmed() {
+        if confirmation_wanted && self.table.is_unconfirmed() {
             timeouts.changes_now(revision)
         } else {
             timeouts.watch(revision)
@@ -191,7 +191,10 @@
         state.suspend_at = None;
         let was_unconfirmed = self.table.is_unconfirmed();
         let update = self.table.apply(document, &self.names);
-        if was_unconfirmed && !self.table.is_unconfirmed() {
+        if self.table.is_unconfirmed() {
+            // The answer has a lower revision than the cached list: discovery has started to count anew.
+            state.fetch_wanted = true;
+        } else if was_unconfirmed {
             info!(self.log, "cached endpoint list replaced by the list from discovery";
                 "revision" => self.table.revision);
         }
@@ -236,6 +239,7 @@
             warn!(self.log, "endpoint list not updated: the poll failed"; "problem" => %error,
                 "deliveries_wait" => !self.table.is_confirmed());
         }
+        state.confirmation_wanted = true;
         if self.must_be_polled {
             state.watch_wanted = false;
             state.fetch_wanted = false;
--- a/crates/forwarder/src/endpoint_list/watch/state.rs
+++ b/crates/forwarder/src/endpoint_list/watch/state.rs
@@ -11,8 +11,8 @@
     pub watch_wanted: bool,
     /// Whether to fetch the complete list.
     pub fetch_wanted: bool,
-    /// Whether no watch has been opened yet.
-    pub is_first_watch: bool,
+    /// Whether the next watch of an unconfirmed list asks for an answer at once: the first one, and the one after a failure.
+    pub confirmation_wanted: bool,
     /// Whether the latest poll succeeded. Only a change of this state is logged.
     pub reachability: Reachability,
     /// A poll that timed out and continues in the background. It is dropped once a later poll succeeds. An overloaded
@@ -29,7 +29,7 @@
         WatchState {
             watch_wanted,
             fetch_wanted,
-            is_first_watch: true,
+            confirmation_wanted: true,
             reachability: Reachability::Reachable,
             late_poll: None,
             suspend_at: None,
--- a/crates/forwarder/src/endpoint_list/watch/tests.rs
+++ b/crates/forwarder/src/endpoint_list/watch/tests.rs
@@ -68,6 +68,14 @@
             .await
             .expect("the actor is running");
     }
+
+    /// Waits for the next event of the core.
+    async fn next_event(&mut self) -> Event {
+        match self.events.recv().await {
+            Some(DispatcherCommand::Event(event)) => event,
+            _ => panic!("expected an event of the core"),
+        }
+    }
 }
 
 fn discard_log() -> Logger {
@@ -108,6 +116,7 @@
     let (agent, address) = bind_agent().await;
     let mut table = EndpointTable::default();
     table.restore(known_list(), &names());
+    table.expect_confirmation();
     let fixture = TestFixture::start(address, table, true, discard_log());
     let early_poll = tokio::time::timeout(Duration::from_millis(100), agent.accept()).await;
     assert!(early_poll.is_err(), "expected no poll before the command");
@@ -131,8 +140,8 @@
     );
 }
 
-/// Guards against a small polled fleet that stops deliveries after each restart although its list has not changed: the
-/// first watch is answered at once, and confirms the cached list without changes. Later watches wait for changes.
+/// Guards against deliveries that wait for a change after each restart where discovery must be polled: the first watch is
+/// answered at once, and confirms the cached list without changes. Later watches wait for changes.
 #[tokio::test]
 async fn unchanged_polled_list_is_confirmed_by_the_first_watch() {
     let (agent, address) = bind_agent().await;
@@ -146,11 +155,8 @@
     assert!(first_request.contains("index=7&wait=0 "), "{first_request}");
     let unchanged = r#"{"revision":7,"complete":false,"members":[]}"#;
     respond(&mut stream, unchanged).await;
-    let Some(DispatcherCommand::Event(event)) = fixture.events.recv().await else {
-        panic!("expected an update of the list")
-    };
     let confirmed = Event::EndpointListUpdated(EndpointListUpdate::Complete(entries));
-    assert_eq!(event, confirmed);
+    assert_eq!(fixture.next_event().await, confirmed);
     let (mut stream, _) = agent.accept().await.expect("the actor polls again");
     let second_request = read_request_head(&mut stream).await;
     assert!(
@@ -159,6 +165,56 @@
     );
 }
 
+/// Guards against deliveries that wait for a change after a failed poll: the next watch of an unconfirmed list is answered at
+/// once as well.
+#[tokio::test]
+async fn watch_after_a_failed_poll_confirms_an_unchanged_polled_list() {
+    let (agent, address) = bind_agent().await;
+    let mut table = EndpointTable::default();
+    table.restore(known_list(), &names());
+    table.expect_confirmation();
+    let mut fixture = TestFixture::start(address, table, true, discard_log());
+    fixture.send(EndpointListCommand::StartWatch).await;
+    let (mut stream, _) = agent.accept().await.expect("the actor polls");
+    read_request_head(&mut stream).await;
+    drop(stream);
+    let failed = Event::EndpointListUpdated(EndpointListUpdate::Failed);
+    assert_eq!(fixture.next_event().await, failed);
+    fixture.send(EndpointListCommand::StartWatch).await;
+    let (mut stream, _) = agent.accept().await.expect("the actor polls again");
+    let request = read_request_head(&mut stream).await;
+    assert!(request.contains("index=7&wait=0 "), "{request}");
+}
+
+/// Guards against deliveries that wait for ever where discovery must be polled and counts its revisions anew: its answers
+/// have a lower revision than the cached list, so that they confirm nothing, and the complete list is fetched.
+#[tokio::test]
+async fn fetches_the_polled_list_if_discovery_counts_its_revisions_anew() {
+    let (agent, address) = bind_agent().await;
+    let mut table = EndpointTable::default();
+    table.restore(known_list(), &names());
+    table.expect_confirmation();
+    let mut fixture = TestFixture::start(address, table, true, discard_log());
+    fixture.send(EndpointListCommand::StartWatch).await;
+    let (mut stream, _) = agent.accept().await.expect("the actor polls");
+    read_request_head(&mut stream).await;
+    let lower_revision = r#"{"revision":3,"complete":false,"members":[]}"#;
+    respond(&mut stream, lower_revision).await;
+    let next_poll = tokio::time::timeout(Duration::from_secs(1), agent.accept()).await;
+    let (mut stream, _) = next_poll
+        .expect("the next poll follows at once")
+        .expect("the actor polls again");
+    let request = read_request_head(&mut stream).await;
+    assert!(request.starts_with("GET /discovery/hosts "), "{request}");
+    let complete_list = known_list_text().replace("\"revision\":7", "\"revision\":3");
+    respond(&mut stream, &complete_list).await;
+    let update = fixture.next_event().await;
+    assert!(matches!(
+        update,
+        Event::EndpointListUpdated(EndpointListUpdate::Complete(entries)) if entries.len() == 1
+    ));
+}
+
 /// Guards against deliveries that wait for seconds after an outage of discovery: the agent never answers the requests that it
 /// received while it was silent, and the list must be requested again soon.
 #[tokio::test]
