Start and reload: large polled fleets send nothing by an unconfirmed list either

Cause: the exception for fleets whose first polls are spread over a second or more. Their cached list was in force at once, for the price of waiting and not for a proof. After SIGHUP to another, silent agent they kept the old list for good.

Change: the exception is gone. While no list is in force the first poll goes out within 25 ms for each other forwarder in place of 50, and it fails after 3 s in place of 1. The simulated clock withholds the list of restarted polled forwarders too, and answers late polls, as on sockets.

--- a/crates/forwarder/src/endpoint_list/golden_tests.rs
+++ b/crates/forwarder/src/endpoint_list/golden_tests.rs
@@ -80,7 +80,6 @@
         agent_address,
         names: names(),
         table,
-        must_be_confirmed: true,
         must_be_polled,
         dispatcher,
         log,
--- a/crates/forwarder/src/endpoint_list/table.rs
+++ b/crates/forwarder/src/endpoint_list/table.rs
@@ -25,16 +25,12 @@
 type PreviousMembers = BTreeMap<CompactString, Option<EndpointEntry>>;
 
 impl EndpointTable {
-    /// Applies the list that an earlier process had, and returns its entries.
+    /// Applies the list that an earlier process had, and returns its entries. The list is unconfirmed: the core does not have
+    /// it, so that the update for the next document is the complete list.
     pub fn restore(&mut self, document: EndpointListDocument, names: &Names) -> Vec<EndpointEntry> {
         self.revision = Some(document.revision);
-        self.apply_complete_list(document.members, names)
-    }
-
-    /// Marks the restored list as unconfirmed: the core does not have it, so that the update for the next document is the
-    /// complete list.
-    pub fn expect_confirmation(&mut self) {
         self.is_unconfirmed = true;
+        self.apply_complete_list(document.members, names)
     }
 
     /// Returns whether the restored list waits for a document of discovery.
--- a/crates/forwarder/src/endpoint_list/table/tests.rs
+++ b/crates/forwarder/src/endpoint_list/table/tests.rs
@@ -85,7 +85,6 @@
     ] {
         let mut table = EndpointTable::default();
         assert_eq!(table.restore(cached(), &names()).len(), 2);
-        table.expect_confirmation();
         assert_eq!(table.apply(document(4, false, &[]), &names()), None);
         assert!(table.is_unconfirmed());
         let update = table.apply(first_document, &names());
--- a/crates/forwarder/src/endpoint_list/watch.rs
+++ b/crates/forwarder/src/endpoint_list/watch.rs
@@ -43,8 +43,6 @@
     pub table: EndpointTable,
     /// Whether discovery must be polled. Otherwise it reports changes by itself.
     pub must_be_polled: bool,
-    /// Whether deliveries wait while the list is not confirmed.
-    pub must_be_confirmed: bool,
     /// The mailbox of the dispatcher.
     pub dispatcher: mpsc::Sender<DispatcherCommand>,
     /// The logger for failed polls and for the recovery from them.
@@ -283,7 +281,7 @@
     fn handle_address_change(&mut self, state: &mut WatchState) {
         let AgentAddress { address, set_at } = *self.agent_address.borrow_and_update();
         let has_new_agent = self.platform.set_address(address);
-        if has_new_agent && self.must_be_confirmed && self.table.is_confirmed() {
+        if has_new_agent && self.table.is_confirmed() {
             state.suspend_at = Some(set_at + Duration::from_micros(NEW_AGENT_TIMEOUT));
         }
         self.table.revision = None;
--- a/crates/forwarder/src/endpoint_list/watch/poll_request.rs
+++ b/crates/forwarder/src/endpoint_list/watch/poll_request.rs
@@ -55,8 +55,8 @@
     response: Duration,
     /// Timeout of a fetch while a confirmed list is known.
     fetch: Duration,
-    /// Timeout of a fetch while no list is confirmed.
-    unconfirmed_fetch: Duration,
+    /// Timeout of a poll that is answered at once, while no list is confirmed.
+    unconfirmed: Duration,
     /// Lower bound on the time for which a poll may wait for its response, counted from its start.
     min_response_timeout: Duration,
 }
@@ -70,7 +70,8 @@
                 response: POLLED_RESPONSE_TIMEOUT,
                 // Giving up a fetch sooner than a watch would waste its cost.
                 fetch: POLLED_MAX_WATCH_WAIT + POLLED_RESPONSE_TIMEOUT,
-                unconfirmed_fetch: POLLED_MAX_WATCH_WAIT + POLLED_RESPONSE_TIMEOUT,
+                // Shorter polls would add to the load of a discovery that answers late.
+                unconfirmed: POLLED_MAX_WATCH_WAIT + POLLED_RESPONSE_TIMEOUT,
                 min_response_timeout: LATE_POLL_TIMEOUT,
             }
         } else {
@@ -78,7 +79,7 @@
                 max_watch_wait: MAX_WATCH_WAIT,
                 response: RESPONSE_TIMEOUT,
                 fetch: RESPONSE_TIMEOUT,
-                unconfirmed_fetch: UNCONFIRMED_FETCH_INTERVAL,
+                unconfirmed: UNCONFIRMED_FETCH_INTERVAL,
                 min_response_timeout: RESPONSE_TIMEOUT,
             }
         }
@@ -89,23 +90,21 @@
         let timeout = if is_confirmed {
             self.fetch
         } else {
-            self.unconfirmed_fetch
+            self.unconfirmed
         };
         self.request(None, timeout)
     }
 
     /// Returns a request that waits for changes after a revision.
     pub fn watch(&self, revision: u64) -> PollRequest {
-        self.changes_within(revision, self.max_watch_wait)
+        let wait = self.max_watch_wait;
+        self.request(Some((revision, wait)), wait + self.response)
     }
 
-    /// Returns a request for the changes after a revision that is answered at once, even without changes.
+    /// Returns a request for the changes after a revision that is answered at once, even without changes. It confirms a
+    /// cached list.
     pub fn changes_now(&self, revision: u64) -> PollRequest {
-        self.changes_within(revision, Duration::ZERO)
-    }
-
-    fn changes_within(&self, revision: u64, wait: Duration) -> PollRequest {
-        self.request(Some((revision, wait)), wait + self.response)
+        self.request(Some((revision, Duration::ZERO)), self.unconfirmed)
     }
 
     fn request(&self, watch: Option<(u64, Duration)>, timeout: Duration) -> PollRequest {
--- a/crates/forwarder/src/endpoint_list/watch/tests.rs
+++ b/crates/forwarder/src/endpoint_list/watch/tests.rs
@@ -50,7 +50,6 @@
             names: names(),
             table,
             must_be_polled,
-            must_be_confirmed: true,
             dispatcher,
             log,
         };
@@ -116,7 +115,6 @@
     let (agent, address) = bind_agent().await;
     let mut table = EndpointTable::default();
     table.restore(known_list(), &names());
-    table.expect_confirmation();
     let fixture = TestFixture::start(address, table, true, discard_log());
     let early_poll = tokio::time::timeout(Duration::from_millis(100), agent.accept()).await;
     assert!(early_poll.is_err(), "expected no poll before the command");
@@ -147,7 +145,6 @@
     let (agent, address) = bind_agent().await;
     let mut table = EndpointTable::default();
     let entries = table.restore(known_list(), &names());
-    table.expect_confirmation();
     let mut fixture = TestFixture::start(address, table, true, discard_log());
     fixture.send(EndpointListCommand::StartWatch).await;
     let (mut stream, _) = agent.accept().await.expect("the actor polls");
@@ -172,7 +169,6 @@
     let (agent, address) = bind_agent().await;
     let mut table = EndpointTable::default();
     table.restore(known_list(), &names());
-    table.expect_confirmation();
     let mut fixture = TestFixture::start(address, table, true, discard_log());
     fixture.send(EndpointListCommand::StartWatch).await;
     let (mut stream, _) = agent.accept().await.expect("the actor polls");
@@ -193,7 +189,6 @@
     let (agent, address) = bind_agent().await;
     let mut table = EndpointTable::default();
     table.restore(known_list(), &names());
-    table.expect_confirmation();
     let mut fixture = TestFixture::start(address, table, true, discard_log());
     fixture.send(EndpointListCommand::StartWatch).await;
     let (mut stream, _) = agent.accept().await.expect("the actor polls");
@@ -261,7 +256,6 @@
     };
     let mut table = EndpointTable::default();
     table.restore(cached_list, &names());
-    table.expect_confirmation();
     assert_slow_first_response_is_accepted(table).await;
 }
 
--- a/crates/forwarder/src/startup.rs
+++ b/crates/forwarder/src/startup.rs
@@ -17,8 +17,7 @@
 use crate::reload::{self, ReadConfig};
 use crate::shutdown::{self, ShutdownStage};
 use crate::startup_config::{GossipPeers, StartupConfig};
-use opalpulley::list_confirmation::must_be_confirmed;
-use opalpulley::{Config, EndpointListUpdate, Event, Micros};
+use opalpulley::{Config, Micros};
 use opalpulley_config::Names;
 use slog::{error, info, Logger};
 use std::future::Future;
@@ -238,8 +237,8 @@
         shutdown::run(terminate, stage, self.dispatcher.clone(), self.log.clone()).await;
     }
 
-    /// Passes the endpoint list of the startup configuration to the dispatcher, if there is one, either for use at once or
-    /// to withhold it until discovery has responded. Returns the table of its endpoints.
+    /// Passes the endpoint list of the startup configuration to the dispatcher, if there is one, which withholds it until
+    /// discovery has responded. Returns the table of its endpoints.
     fn restore_cached_list(
         &self,
         cached_list: Option<EndpointListDocument>,
@@ -248,13 +247,7 @@
         let mut endpoint_table = EndpointTable::default();
         if let Some(list) = cached_list {
             let entries = endpoint_table.restore(list, &self.names());
-            if must_be_confirmed(&self.config) {
-                endpoint_table.expect_confirmation();
-                dispatcher.withhold_cached_list(&entries);
-            } else {
-                let cached_list = Event::EndpointListUpdated(EndpointListUpdate::Cached(entries));
-                dispatcher.handle_command(DispatcherCommand::Event(cached_list));
-            }
+            dispatcher.withhold_cached_list(&entries);
         }
         endpoint_table
     }
@@ -290,7 +283,6 @@
             names: self.names(),
             table: endpoint_table,
             must_be_polled: self.config.list_poll_interval.is_some(),
-            must_be_confirmed: must_be_confirmed(&self.config),
             dispatcher: self.dispatcher.clone(),
             log: self.log.clone(),
         };
--- a/crates/forwarder/tests/program/configuration.rs
+++ b/crates/forwarder/tests/program/configuration.rs
@@ -77,6 +77,24 @@
 /// answer: 4 s after SIGHUP the changes that it knows count as notified. Messages wait for its list and are then sent.
 #[test]
 fn sends_nothing_by_the_list_of_the_previous_agent_once_the_new_one_is_overdue() {
+    let config_text = startup_config("notice", "free", 200, 3.0);
+    assert_list_of_previous_agent_is_suspended(&config_text, Duration::from_secs(1));
+}
+
+/// Guards against the same fault in a large fleet that polls discovery.
+#[test]
+fn large_polled_fleet_sends_nothing_by_the_list_of_the_previous_agent_once_the_new_one_is_overdue()
+{
+    let polled = "\"Balancers\":45,\"MembershipMode\":\"on_request\"";
+    let config_text = startup_config("notice", "free", 200, 3.0).replace("\"Balancers\":1", polled);
+    // The next poll after a failure comes up to 5 s later, and is answered within a second.
+    assert_list_of_previous_agent_is_suspended(&config_text, Duration::from_secs(6));
+}
+
+/// Reloads a configuration that names another agent, which stays silent, and checks that nothing is sent by the list of the
+/// previous agent once the changes that the new one knows count as notified. Messages wait, and are sent within
+/// `sent_within` of the time at which the new agent can be reached.
+fn assert_list_of_previous_agent_is_suspended(config_text: &str, sent_within: Duration) {
     let (reused_address, reused_log) = endpoint_responding_with("200 OK");
     let (replacement, replacement_log) = endpoint_responding_with("200 OK");
     let old_platform = start_platform(vec![member_named("old", reused_address, 7, "Ready")], 0);
@@ -91,9 +109,11 @@
         (!is_silent).then(|| ok_response(&endpoint_list(1, true, &members)))?
     });
     let (dir, state) = state_folder();
-    let config_text = startup_config("notice", "free", 200, 3.0);
-    let forwarder = start(&state, &config_text, old_platform.address);
-    let new_config = with_further_keys(&config_text, &format!("\"discovery\":\"{new_agent}\""));
+    let forwarder = start(&state, config_text, old_platform.address);
+    wait_until("the list of the old platform is received", || {
+        forwarder.submit("first", "notice") == 202
+    });
+    let new_config = with_further_keys(config_text, &format!("\"discovery\":\"{new_agent}\""));
     std::fs::write(dir.path().join("config.json"), new_config).expect("the write succeeds");
     let reloaded_at = Instant::now();
     forwarder.signal("-HUP");
@@ -114,8 +134,8 @@
     });
     let sent_after = answered_at.elapsed();
     assert!(
-        sent_after < Duration::from_secs(1),
-        "expected the message within 1 s of the list, took {sent_after:?}"
+        sent_after < sent_within,
+        "expected the message within {sent_within:?} of the agent's return, took {sent_after:?}"
     );
 }
 
--- a/crates/forwarder/tests/program/outdated_list.rs
+++ b/crates/forwarder/tests/program/outdated_list.rs
@@ -19,6 +19,11 @@
 /// notified 6 s after discovery could be reached.
 const SENT_AFTER_POLL_WITHIN: Duration = Duration::from_secs(6);
 
+/// Size of a fleet whose first polls are spread over almost a second.
+const MEDIUM_FLEET: u32 = 45;
+/// Size of a fleet whose first polls are spread over 5 s.
+const LARGE_FLEET: u32 = 350;
+
 /// How discovery treats requests for the list.
 #[derive(Clone, Copy, PartialEq)]
 #[repr(u8)]
@@ -136,9 +141,20 @@
 /// Guards against the same fault where discovery must be polled: its first response holds changes to the cached list.
 #[test]
 fn restart_sends_nothing_by_an_outdated_cached_list_before_the_first_poll() {
-    let polled = "\"MembershipMode\":\"on_request\",\"QuantumUs\"";
-    let config_text = startup_config("notice", "free", 200, 3.0).replace("\"QuantumUs\"", polled);
-    assert_outdated_list_is_not_used(&config_text);
+    assert_outdated_list_is_not_used(&polled_config(1));
+}
+
+/// Guards against the same fault in larger fleets, where the first poll is sent some time after the start.
+#[test]
+fn restart_in_a_large_polled_fleet_sends_nothing_by_an_outdated_cached_list() {
+    assert_outdated_list_is_not_used(&polled_config(MEDIUM_FLEET));
+    assert_outdated_list_is_not_used(&polled_config(LARGE_FLEET));
+}
+
+/// Returns the start-up configuration of a forwarder in a fleet of this size that polls discovery.
+fn polled_config(fleet_size: u32) -> String {
+    let fleet = format!("\"Balancers\":{fleet_size},\"MembershipMode\":\"on_request\"");
+    startup_config("notice", "free", 200, 3.0).replace("\"Balancers\":1", &fleet)
 }
 
 /// Leaves an unfinished message in the journal, replaces its endpoint while no process runs, and starts the second run with
@@ -192,12 +208,20 @@
 /// Guards against the same fault where discovery must be polled: a failed poll does not confirm the cached list.
 #[test]
 fn restart_sends_nothing_by_the_cached_list_after_failed_polls() {
-    let polled = "\"MembershipMode\":\"on_request\",\"QuantumUs\"";
-    let config_text = startup_config("notice", "free", 200, 3.0).replace("\"QuantumUs\"", polled);
+    let config_text = polled_config(1);
     assert_cached_list_is_withheld(&config_text, Stop::Terminate, DiscoveryMode::Rejects);
     assert_cached_list_is_withheld(&config_text, Stop::Kill, DiscoveryMode::Silent);
 }
 
+/// Guards against the same fault in larger fleets.
+#[test]
+fn restart_in_a_large_polled_fleet_sends_nothing_by_the_cached_list_after_failed_polls() {
+    let medium = polled_config(MEDIUM_FLEET);
+    assert_cached_list_is_withheld(&medium, Stop::Terminate, DiscoveryMode::Silent);
+    let large = polled_config(LARGE_FLEET);
+    assert_cached_list_is_withheld(&large, Stop::Kill, DiscoveryMode::Rejects);
+}
+
 /// Restarts a forwarder during an outage of discovery, in which the address of its endpoint passes to destination 8. The
 /// journal holds an unfinished message. No message of destination 7 may reach the address again, and all of
 /// them must reach the replacement soon after the outage.
--- a/crates/lab/src/sim/discovery.rs
+++ b/crates/lab/src/sim/discovery.rs
@@ -7,6 +7,10 @@
 use opalpulley::{EndpointEntry, EndpointListUpdate, EndpointStatus, Event, Micros};
 use rand::Rng;
 
+/// Time after which a forwarder drops a poll that has timed out, in µs. It uses an answer that comes before, as the forwarder
+/// on sockets does.
+const LATE_POLL_TIMEOUT: Micros = 7_000_000;
+
 /// The entry of an endpoint's address in the endpoint list.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ListedEndpoint {
@@ -95,7 +99,7 @@
     }
 
     /// Handles a forwarder's poll of the list. Discovery answers polls one after the other, including those that have timed out
-    /// by then, and rejects a poll that would be queued for too long.
+    /// by then, and rejects a poll that would be queued for too long. A poll that times out fails, and may be answered later.
     pub(super) fn poll_list(&mut self, forwarder: u32) {
         let Some(discovery) = &self.scenario.network.polled_discovery else {
             return;
@@ -104,18 +108,27 @@
         let queue_delay =
             self.discovery_busy_until.saturating_sub(self.now) + discovery.poll_service_time.0;
         let timeout = discovery.poll_timeout.0;
-        let (answer_delay, answered) = if queue_delay > discovery.max_queue_wait.0 {
-            (2 * self.scenario.network.delay.0, false)
-        } else {
-            self.discovery_busy_until = self.now + queue_delay;
-            (queue_delay.min(timeout), queue_delay <= timeout)
-        };
+        if queue_delay > discovery.max_queue_wait.0 {
+            let rejection_delay = 2 * self.scenario.network.delay.0;
+            return self.schedule_poll_answer(forwarder, rejection_delay, false);
+        }
+        self.discovery_busy_until = self.now + queue_delay;
+        if queue_delay > timeout {
+            self.schedule_poll_answer(forwarder, timeout, false);
+        }
+        if queue_delay <= timeout.max(LATE_POLL_TIMEOUT) {
+            self.schedule_poll_answer(forwarder, queue_delay, true);
+        }
+    }
+
+    /// Schedules the end of a poll in `delay` µs, by an answer or by a failure.
+    fn schedule_poll_answer(&mut self, forwarder: u32, delay: Micros, answered: bool) {
         let answered_event = SimulatedEvent::PollAnswered {
             forwarder,
             incarnation: self.processes[forwarder as usize].incarnation,
             answered,
         };
-        self.schedule(self.now + answer_delay, answered_event);
+        self.schedule(self.now + delay, answered_event);
     }
 
     pub(super) fn poll_answered(&mut self, forwarder: u32, incarnation: u32, answered: bool) {
--- a/crates/lab/src/sim/simulated_process.rs
+++ b/crates/lab/src/sim/simulated_process.rs
@@ -135,8 +135,9 @@
 }
 
 impl Sim {
-    /// Starts a process with the endpoint list that it knew last. A process that knows none gets the current list. While
-    /// discovery is down, the list is withheld as on sockets: it is not confirmed.
+    /// Starts a process with the endpoint list that it knew last. A process that knows none gets the current list. As on
+    /// sockets, a process that restarts has no list until discovery has confirmed it: while discovery is down, and before
+    /// the first poll if discovery is polled.
     pub(super) fn start_process(&mut self, forwarder: u32) {
         let incarnation = self.processes[forwarder as usize].incarnation;
         let rng_index = u64::from(forwarder) << 32 | u64::from(incarnation);
@@ -144,12 +145,14 @@
         let subject = self.variant.build(self.scenario.config(forwarder), seed);
         let process = &mut self.processes[forwarder as usize];
         process.subject = Some(subject);
-        process.follows_list = self.scenario.network.polled_discovery.is_none();
+        let is_polled = self.scenario.network.polled_discovery.is_some();
+        process.follows_list = !is_polled;
         if process.known_endpoints.is_empty() {
             let list = Sim::complete_list(&self.layout, &self.scenario, &self.listed_endpoints);
             process.known_endpoints = list.into_iter().enumerate().collect();
         }
-        let list = if self.now < self.discovery_down_until {
+        let is_restart = incarnation > 0;
+        let list = if self.now < self.discovery_down_until || (is_polled && is_restart) {
             Vec::new()
         } else {
             process.known_endpoints.values().cloned().collect()
--- a/src/policy/list_confirmation.rs
+++ b/src/policy/list_confirmation.rs
@@ -13,17 +13,9 @@
 //! - While the agent of the list falls silent, the list stays in force: that agent has told all it
 //!   had, and what it learns later counts as notified only after its return.
 //!
-//! Where a large fleet polls discovery, the first polls are spread over seconds. Such a fleet does
-//! not wait for a confirmation: the list that it has stays in force.
-//!
 //! All times are in µs.
 
-use super::list_polling;
-use crate::model::{Config, EndpointEntry, EndpointStatus, Micros};
-
-/// Upper bound on the delay of the first poll with which the cached list is withheld until discovery
-/// responds.
-const MAX_WITHHELD_POLL_DELAY: Micros = 1_000_000;
+use crate::model::{EndpointEntry, EndpointStatus, Micros};
 
 /// Time after a reload that names another agent for which the list of the previous agent counts as
 /// current. The changes that the new agent knows count as notified 4 s after the reload; the
@@ -41,11 +33,5 @@
     EndpointEntry { status, ..entry }
 }
 
-/// Returns whether deliveries wait while the list is not confirmed: unless the first poll may be
-/// seconds away.
-pub fn must_be_confirmed(config: &Config) -> bool {
-    list_polling::max_first_poll_delay(config) < MAX_WITHHELD_POLL_DELAY
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/policy/list_polling.rs
+++ b/src/policy/list_polling.rs
@@ -31,6 +31,11 @@
 /// this value assumes some tens of polls per second.
 const POLL_COST_US: Micros = 50_000;
 
+/// Time by which each other forwarder lengthens the window of the first poll while deliveries wait
+/// for its answer, in µs. It is shorter than [`POLL_COST_US`]: a discovery that is overloaded
+/// meanwhile still answers each poll that it has accepted, and late answers are used.
+const AWAITED_POLL_SPREAD_US: Micros = 25_000;
+
 /// The window of the first poll is at most the poll interval divided by this number.
 const FIRST_WINDOW_DIVISOR: Micros = 2;
 
@@ -95,7 +100,12 @@
             Event::EndpointListUpdated(EndpointListUpdate::Failed)
         );
         if poll_failed || !self.has_started {
-            let delay = self.schedule_poll(now, poll_failed, poll_interval, config, rng);
+            let window = if poll_failed {
+                self.next_window(now, poll_interval, config)
+            } else {
+                first_window(has_list(event), poll_interval, config)
+            };
+            let delay = self.schedule_poll(now, window, rng);
             actions.push(Action::SetTimer {
                 delay,
                 token: POLL_TIMER,
@@ -107,30 +117,22 @@
         }
     }
 
-    /// Schedules the first poll, or the next one if `poll_failed`. Returns the delay of the poll in
-    /// µs.
-    fn schedule_poll(
-        &mut self,
-        now: Micros,
-        poll_failed: bool,
-        poll_interval: Micros,
-        config: &Config,
-        rng: &mut impl Rng,
-    ) -> Micros {
+    /// Schedules a poll at a random time in the window. Returns its delay in µs.
+    fn schedule_poll(&mut self, now: Micros, window: DelayWindow, rng: &mut impl Rng) -> Micros {
         self.has_started = true;
-        let elapsed_since_poll = now.saturating_sub(self.last_poll_at);
-        let window = if poll_failed {
-            self.count_failure(elapsed_since_poll, poll_interval, config);
-            let max_delay = longest_delay(elapsed_since_poll, poll_interval, config);
-            self.window_after_failure(max_delay, poll_interval, config)
-        } else {
-            first_window(poll_interval, config)
-        };
         let delay = window.draw(rng);
         self.next_poll_at = Some(now + delay);
         delay
     }
 
+    /// Counts a failed poll, and returns the window of the next one.
+    fn next_window(&mut self, now: Micros, poll_interval: Micros, config: &Config) -> DelayWindow {
+        let elapsed_since_poll = now.saturating_sub(self.last_poll_at);
+        self.count_failure(elapsed_since_poll, poll_interval, config);
+        let max_delay = longest_delay(elapsed_since_poll, poll_interval, config);
+        self.window_after_failure(max_delay, poll_interval, config)
+    }
+
     /// Counts a failed poll. A poll that lasted long was answered before it failed, so the count
     /// restarts at 1.
     fn count_failure(
@@ -160,7 +162,7 @@
         config: &Config,
     ) -> DelayWindow {
         let doublings = self.consecutive_failures.min(MAX_DOUBLINGS);
-        let doubled_window = base_window(poll_interval, config) << doublings;
+        let doubled_window = window(POLL_COST_US, poll_interval, config) << doublings;
         // The window of a forwarder without peers is empty. The shortest delay keeps such a
         // forwarder from polling in a tight loop.
         let shortest = (POLL_COST_US << doublings).min(max_delay / SHORTEST_DELAY_DIVISOR);
@@ -171,29 +173,36 @@
     }
 }
 
-/// Returns the upper bound on the delay of the first poll after the start of the process, in µs. It
-/// is 0 if discovery pushes the list.
-pub fn max_first_poll_delay(config: &Config) -> Micros {
-    match config.list_poll_interval {
-        Some(poll_interval) => first_window(poll_interval, config).end,
-        None => 0,
+/// Returns whether the first event of a process brings a list that is in force. Otherwise
+/// deliveries wait for the answer to the first poll.
+fn has_list(first_event: &Event) -> bool {
+    match first_event {
+        Event::EndpointListUpdated(
+            EndpointListUpdate::Cached(entries) | EndpointListUpdate::Complete(entries),
+        ) => !entries.is_empty(),
+        _ => false,
     }
 }
 
 /// Returns the window of the first poll after the start of the process.
-fn first_window(poll_interval: Micros, config: &Config) -> DelayWindow {
+fn first_window(has_list: bool, poll_interval: Micros, config: &Config) -> DelayWindow {
+    let spread = if has_list {
+        POLL_COST_US
+    } else {
+        AWAITED_POLL_SPREAD_US
+    };
     let max_delay = longest_delay(0, poll_interval, config);
     DelayWindow {
         shortest: 0,
-        end: base_window(poll_interval, config).min(max_delay),
+        end: window(spread, poll_interval, config).min(max_delay),
     }
 }
 
-/// Returns the time in which discovery processes one poll of each other forwarder, in µs: at most
-/// half the poll interval.
-fn base_window(poll_interval: Micros, config: &Config) -> Micros {
+/// Returns the time that holds `time_per_forwarder` µs for each other forwarder, in µs: at most half
+/// the poll interval.
+fn window(time_per_forwarder: Micros, poll_interval: Micros, config: &Config) -> Micros {
     let other_forwarders = Micros::from(config.fleet_size.saturating_sub(1));
-    (POLL_COST_US * other_forwarders).min(poll_interval / FIRST_WINDOW_DIVISOR)
+    (time_per_forwarder * other_forwarders).min(poll_interval / FIRST_WINDOW_DIVISOR)
 }
 
 /// Returns the longest delay of the next poll, in µs, when `elapsed_since_poll` µs have passed
--- a/src/policy/list_polling/tests.rs
+++ b/src/policy/list_polling/tests.rs
@@ -2,6 +2,9 @@
 //! discovery.
 
 use super::*;
+use crate::model::{
+    DestinationId, EndpointEntry, EndpointId, EndpointKindId, EndpointStatus, ZoneId,
+};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
@@ -32,6 +35,22 @@
     }
 }
 
+fn list_entry() -> EndpointEntry {
+    EndpointEntry {
+        endpoint: EndpointId {
+            address: [10, 0, 0, 1],
+            port: 80,
+            incarnation: 0,
+        },
+        zone: ZoneId(0),
+        up_since: 0,
+        status: EndpointStatus::Ready,
+        rate: 20.0,
+        destination: DestinationId(7),
+        kind: EndpointKindId(0),
+    }
+}
+
 /// The list poller of one forwarder, and the time of the timer that it has set.
 struct PollingForwarder {
     list_poller: ListPoller,
@@ -43,6 +62,11 @@
 impl PollingForwarder {
     /// Creates a forwarder that starts at time 0.
     fn new(config: Config, seed: u64) -> PollingForwarder {
+        PollingForwarder::with_cached_list(config, seed, Vec::new())
+    }
+
+    /// Creates a forwarder that starts at time 0 with a list in force, unless the list is empty.
+    fn with_cached_list(config: Config, seed: u64, list: Vec<EndpointEntry>) -> PollingForwarder {
         let is_only_forwarder = config.fleet_size == 1;
         let mut forwarder = PollingForwarder {
             list_poller: ListPoller::default(),
@@ -50,7 +74,7 @@
             rng: Pcg64Mcg::seed_from_u64(seed),
             timer: None,
         };
-        let cached_list = Event::EndpointListUpdated(EndpointListUpdate::Cached(Vec::new()));
+        let cached_list = Event::EndpointListUpdated(EndpointListUpdate::Cached(list));
         let polls = forwarder.handle(0, cached_list);
         assert!(is_only_forwarder || !polls || forwarder.timer == Some(0));
         forwarder
@@ -117,6 +141,31 @@
     }
 }
 
+/// Guards against deliveries that wait for longer than discovery takes to answer a fleet: the first
+/// poll is sent sooner where no list is in force.
+#[test]
+fn sends_first_poll_sooner_while_deliveries_wait_for_it() {
+    const FLEET_SIZE: u32 = 100;
+    let awaited_window = Micros::from(FLEET_SIZE - 1) * AWAITED_POLL_SPREAD_US;
+    let first_delays = |list: Vec<EndpointEntry>| -> Vec<Micros> {
+        let first_delay = |seed| {
+            PollingForwarder::with_cached_list(config(FLEET_SIZE), seed, list.clone())
+                .next_poll_at()
+        };
+        (0..100).map(first_delay).collect()
+    };
+    let awaited = first_delays(Vec::new());
+    assert!(
+        awaited.iter().all(|delay| *delay < awaited_window),
+        "expected each poll within {awaited_window} µs, got {awaited:?}"
+    );
+    let with_list = first_delays(vec![list_entry()]);
+    assert!(
+        with_list.iter().any(|delay| *delay > awaited_window),
+        "expected polls over twice the window, got {with_list:?}"
+    );
+}
+
 #[test]
 fn consecutive_failures_lengthen_delay_up_to_poll_interval() {
     for fleet_size in [1, 100] {
