Laboratory: a reserved port is never listened on by its own reservation

Cause: ReservedPort::reserve opened a listener as a probe and dropped it. A process that another run starts in that moment holds a copy of it until its program is loaded; while the copy listens, the run's own listener can't.

Change: the reservation binds to a free port without SO_REUSEADDR and sets the option afterwards. No probe, no second socket, no lock between choice and reservation. A port on which somebody listens is still refused, by the bind itself.

Two tests that held before guard the new way: used ports are refused, reserved ports differ.

--- a/crates/lab/src/sockets/wire.rs
+++ b/crates/lab/src/sockets/wire.rs
@@ -3,15 +3,12 @@
 
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::{Mutex, PoisonError};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 const MAX_HEADERS: usize = 64;
 const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
-/// Upper bound on the attempts to reserve a free port.
-const MAX_PORT_ATTEMPTS: u32 = 100;
 
 /// An HTTP/1.1 connection with the bytes that have been read but not consumed.
 pub struct HttpConnection {
@@ -170,9 +167,6 @@
     }
 }
 
-/// Lock that is held from the choice of a port until the port is reserved.
-static PORT_CHOICE: Mutex<()> = Mutex::new(());
-
 /// A loopback port that stays reserved while no listener uses it, so that no other run on this machine gets the port or the
 /// traffic to it.
 pub struct ReservedPort {
@@ -181,44 +175,24 @@
 }
 
 impl ReservedPort {
-    /// Reserves a port; 0 selects a free one. Fails if the port is in use, or if no free port is found in 100 attempts.
+    /// Reserves a port; 0 selects a free one. Fails if a listener uses the port, or if no port is free.
+    ///
+    /// The reservation does not listen, not even for a moment: a process that is being started elsewhere holds a copy of it
+    /// until its program is loaded, and a copy that listened would keep others from listening on the port.
     pub fn reserve(port: u16) -> io::Result<ReservedPort> {
-        // Two runs in one process could choose the same port before either reserves it, and would then share it.
-        let _guard = PORT_CHOICE.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut attempts = 0;
-        loop {
-            // Another process may take the port between the choice and the reservation. Another port is chosen then.
-            let reserved = ReservedPort::choose_address(port)
-                .and_then(ReservedPort::bind_reservation)
-                .and_then(|port| port.listen().map(|_| port));
-            attempts += 1;
-            match reserved {
-                Err(error)
-                    if error.kind() == io::ErrorKind::AddrInUse
-                        && port == 0
-                        && attempts < MAX_PORT_ATTEMPTS => {}
-                reserved => return reserved,
-            }
-        }
-    }
-
-    /// Chooses an address without `SO_REUSEADDR`, so that no port is chosen that another run has reserved.
-    fn choose_address(port: u16) -> io::Result<SocketAddr> {
-        let socket = tokio::net::TcpSocket::new_v4()?;
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
         if port == 0 {
-            socket.bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
-            return socket.local_addr();
+            // Without `SO_REUSEADDR` no port is selected that another run has reserved. The option is set afterwards, so
+            // that a listener can bind to the port as well.
+            bind_loopback(&socket, port)?;
+            socket.set_reuse_address(true)?;
+        } else {
+            socket.set_reuse_address(true)?;
+            bind_loopback(&socket, port)?;
         }
-        Ok(SocketAddr::from((Ipv4Addr::LOCALHOST, port)))
-    }
-
-    /// Reserves an address with `SO_REUSEADDR`, so that a listener can bind to it as well.
-    fn bind_reservation(address: SocketAddr) -> io::Result<ReservedPort> {
-        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
-        socket.set_reuse_address(true)?;
-        socket.bind(&address.into())?;
+        let address = socket.local_addr()?.as_socket();
         Ok(ReservedPort {
-            address,
+            address: address.ok_or(io::ErrorKind::AddrNotAvailable)?,
             _reservation: socket,
         })
     }
@@ -231,3 +205,10 @@
         socket.listen(1024)
     }
 }
+
+fn bind_loopback(socket: &socket2::Socket, port: u16) -> io::Result<()> {
+    socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, port)).into())
+}
+
+#[cfg(test)]
+mod tests;
