--- a/crates/forwarder/src/dispatcher/tests.rs
+++ b/crates/forwarder/src/dispatcher/tests.rs
@@ -4,6 +4,7 @@
 use super::*;
 use crate::clock::micros;
 use crate::commands::{EndpointCommand, SubmissionAnswer};
+use crate::journal::StoredNames;
 use crate::protocol::{Ending, SubmittedMessage};
 use opalpulley::{
     AttemptHistory, DeliveryClassId, EndpointEntry, EndpointKindId, EndpointListUpdate,
@@ -65,7 +66,9 @@
         .await
         .expect("a port is free");
     let dir = TempDir::new().expect("a temporary directory is created");
-    let (journal, _) = Journal::open(dir.path(), 1_000_000).expect("the journal opens");
+    let stored_names = StoredNames::new(&names, &config);
+    let (journal, _) =
+        Journal::open(dir.path(), 1_000_000, stored_names).expect("the journal opens");
     let log = Logger::root(slog::Discard, slog::o!());
     let (dispatcher, commands) = mpsc::channel(64);
     let (list_watch, _) = mpsc::channel(1);
--- a/crates/forwarder/src/journal.rs
+++ b/crates/forwarder/src/journal.rs
@@ -7,18 +7,23 @@
 //! Writes go to the page cache, which survives the process, so they are not synced.
 //!
 //! [`record`] defines the format, [`segment`] the files, [`ring`] the accounting of space, [`live`] the messages in
-//! memory, and [`recovery`] the replay at startup.
+//! memory, and [`recovery`] the replay at startup. [`names`] stores what the numbers in the records stand for, and
+//! [`translation`] gives them those of this run.
 
 mod live;
+mod names;
 mod record;
 mod recovery;
 mod ring;
 mod segment;
+mod translation;
 
+pub use names::StoredNames;
 pub use record::StoredMessage;
 
 use crate::protocol::Ending;
 use live::LiveMessages;
+use names::NameTable;
 use opalpulley::Micros;
 use record::Record;
 use recovery::Replay;
@@ -76,30 +81,48 @@
 pub struct Journal {
     ring: SegmentRing,
     live: LiveMessages,
+    names: NameTable,
     next_serial: u64,
+    failed_count: usize,
 }
 
 impl Journal {
-    /// Opens the journal in `dir`, whose segments may take `limit_bytes` on disk. Returns the unfinished messages in
-    /// the order in which they were accepted. Fails if the directory or a segment cannot be read or written.
-    pub fn open(dir: &Path, limit_bytes: u64) -> io::Result<(Journal, Vec<StoredMessage>)> {
+    /// Opens the journal in `dir`, whose files may take `limit_bytes` on disk. `names` are those in the settings of this run.
+    /// Returns the unfinished messages in the order in which they were accepted. Fails if the directory or a file cannot be
+    /// read or written.
+    pub fn open(
+        dir: &Path,
+        limit_bytes: u64,
+        names: StoredNames,
+    ) -> io::Result<(Journal, Vec<StoredMessage>)> {
         let numbers = segment::list_numbers(dir)?;
         let active_number = numbers.last().map_or(0, |last| last + 1);
-        let mut replay = Replay::default();
+        let oldest_number = numbers.first().copied().unwrap_or(active_number);
+        let names = NameTable::open(dir, names, oldest_number, active_number)?;
+        let mut replay = Replay::new(&names);
         let mut sealed = VecDeque::new();
         for number in numbers {
             sealed.push_back(replay.read_segment(dir, number)?);
         }
+        let recovery = replay.finish();
         let active = ActiveSegment::create(dir, active_number)?;
+        let limits = SpaceLimits::new(limit_bytes.saturating_sub(names.bytes_on_disk()?));
         let mut journal = Journal {
-            ring: SegmentRing::new(dir, SpaceLimits::new(limit_bytes), sealed, active),
-            live: replay.live,
-            next_serial: replay.next_serial,
+            ring: SegmentRing::new(dir, limits, sealed, active),
+            live: recovery.live,
+            names,
+            next_serial: recovery.next_serial,
+            failed_count: recovery.failed_count,
         };
         let messages = journal.recover_messages();
         Ok((journal, messages))
     }
 
+    /// Returns the number of messages that failed when the journal was opened, because their delivery class has changed.
+    pub fn failed_count(&self) -> usize {
+        self.failed_count
+    }
+
     /// Returns the unfinished messages in the order in which they were accepted. The outcomes of attempts in flight are
     /// lost, so each of these attempts counts as one that may have taken effect.
     pub fn recover_messages(&mut self) -> Vec<StoredMessage> {
@@ -189,6 +212,7 @@
     }
 
     fn append_record(&mut self, record: Record) -> Result<(), JournalError> {
+        self.names.store()?;
         let frame = record::encode_frame(&record)?;
         self.free_space_for(frame.len() as u64)?;
         self.write_record(&frame, record)
@@ -236,4 +260,6 @@
 #[cfg(test)]
 mod golden_tests;
 #[cfg(test)]
+mod names_tests;
+#[cfg(test)]
 mod tests;
--- a/crates/forwarder/src/journal/golden_tests.rs
+++ b/crates/forwarder/src/journal/golden_tests.rs
@@ -17,6 +17,8 @@
 use tempfile::TempDir;
 
 const LIMIT_BYTES: u64 = 300_000;
+/// Space that the file of the names takes beside the segments, in bytes: one block, and one more while it is replaced.
+const NAMES_BYTES: u64 = 1024;
 /// Deadline of all messages, in µs since the Unix epoch. It lies in the year 2100, so that no message of the golden folders
 /// is past it.
 const DEADLINE_IN_2100: Micros = 4_102_444_800_000_000;
@@ -61,8 +63,13 @@
     copy
 }
 
-/// Reads all files of a folder. Returns their bytes by file name.
-fn read_files(folder: &Path) -> BTreeMap<String, Vec<u8>> {
+/// Opens the journal in a folder. The segments may take [`LIMIT_BYTES`].
+fn open(folder: &Path) -> io::Result<(Journal, Vec<StoredMessage>)> {
+    Journal::open(folder, LIMIT_BYTES + NAMES_BYTES, StoredNames::default())
+}
+
+/// Reads all segments in a folder. Returns their bytes by file name.
+fn read_segments(folder: &Path) -> BTreeMap<String, Vec<u8>> {
     let files = fs::read_dir(folder)
         .expect("the folder is readable")
         .map(|file| {
@@ -75,7 +82,9 @@
                 bytes,
             )
         });
-    files.collect()
+    let mut files: BTreeMap<String, Vec<u8>> = files.collect();
+    files.remove(names::FILE_NAME);
+    files
 }
 
 fn message(request_id: &str, destination: u32) -> StoredMessage {
@@ -101,7 +110,7 @@
 /// Performs the operations that wrote `tests/golden/state-by-operations`, in two runs. The second run starts a new
 /// segment.
 fn write_stored_messages(folder: &Path) -> Result<(), JournalError> {
-    let (mut journal, _) = Journal::open(folder, LIMIT_BYTES).map_err(JournalError::Io)?;
+    let (mut journal, _) = open(folder).map_err(JournalError::Io)?;
     journal.record_message(message("waiting", 7))?;
     journal.record_message(StoredMessage {
         tenant: Some(2),
@@ -151,7 +160,7 @@
     journal.record_message_end(ended_wide)?;
     drop(journal);
 
-    let (mut journal, _) = Journal::open(folder, LIMIT_BYTES).map_err(JournalError::Io)?;
+    let (mut journal, _) = open(folder).map_err(JournalError::Io)?;
     let failed = journal.record_message(message("report-failed", 7))?;
     journal.record_pending_report(failed, Ending::Failed)?;
     let rejected = journal.record_message(message("report-rejected", 7))?;
@@ -183,12 +192,10 @@
     for input in golden.inputs() {
         let folder =
             copy_golden_folder(input["folder"].as_str().expect("the input names a folder"));
-        let (journal, messages) =
-            Journal::open(folder.path(), LIMIT_BYTES).expect("the journal opens");
+        let (journal, messages) = open(folder.path()).expect("the journal opens");
         golden.compare_next(messages.iter().map(render_message).collect());
         drop(journal);
-        let (_, recovered_again) =
-            Journal::open(folder.path(), LIMIT_BYTES).expect("the journal opens again");
+        let (_, recovered_again) = open(folder.path()).expect("the journal opens again");
         assert_eq!(
             recovered_again, messages,
             "expected the next start to recover the same messages"
@@ -202,8 +209,8 @@
     let folder = TempDir::new().expect("a temporary folder is created");
     write_stored_messages(folder.path()).expect("the journal has space");
     assert_eq!(
-        read_files(folder.path()),
-        read_files(&crate::golden_cases::path("state-by-operations"))
+        read_segments(folder.path()),
+        read_segments(&crate::golden_cases::path("state-by-operations"))
     );
 }
 
@@ -211,8 +218,7 @@
 #[test]
 fn writes_golden_bytes_when_copying_live_messages_of_freed_segment() {
     let folder = copy_golden_folder("state-by-operations");
-    let (mut journal, messages) =
-        Journal::open(folder.path(), LIMIT_BYTES).expect("the journal opens");
+    let (mut journal, messages) = open(folder.path()).expect("the journal opens");
     let mut fill_count = 0;
     while path(folder.path(), 0).exists() {
         assert!(
@@ -229,10 +235,12 @@
             .expect("the journal has space");
     }
     drop(journal);
-    let (_, recovered) =
-        Journal::open(folder.path(), LIMIT_BYTES).expect("the journal opens again");
+    let (_, recovered) = open(folder.path()).expect("the journal opens again");
     assert_eq!(recovered, messages);
-    let all_bytes: Vec<u8> = read_files(folder.path()).into_values().flatten().collect();
+    let all_bytes: Vec<u8> = read_segments(folder.path())
+        .into_values()
+        .flatten()
+        .collect();
     let recorded = fs::read_to_string(crate::golden_cases::path("copied-segment.crc32"))
         .expect("the golden file is readable");
     // Number of messages written until the segment was freed, size of all segments in bytes, and their checksum.
--- a/crates/forwarder/src/journal/live.rs
+++ b/crates/forwarder/src/journal/live.rs
@@ -1,6 +1,8 @@
 //! The unfinished messages in memory.
 
 use super::record::{Record, StoredMessage};
+use crate::protocol::Ending;
+use opalpulley::recovery::RecoveredMessage;
 use std::collections::BTreeMap;
 
 /// An unfinished message and the place of its latest copy.
@@ -55,6 +57,25 @@
         }
     }
 
+    /// Fails a message whose class has changed, if that requires it and its final answer is not decided yet. Returns whether
+    /// it has failed.
+    pub fn apply_recovered(&mut self, serial: u64, recovered: RecoveredMessage) -> bool {
+        let Some(entry) = self.messages.get_mut(&serial) else {
+            return false;
+        };
+        let message = &mut entry.message;
+        let fails = match recovered {
+            RecoveredMessage::Continue => false,
+            RecoveredMessage::ContinueIfUntried => message.may_have_taken_effect(),
+            RecoveredMessage::Fail => true,
+        };
+        if !fails || message.pending_report.is_some() {
+            return false;
+        }
+        message.pending_report = Some(Ending::Failed);
+        true
+    }
+
     /// Applies a record that was written to the given segment or read from it.
     pub fn apply(&mut self, record: Record, segment_number: u64) {
         match record {
--- a/crates/forwarder/src/journal/record.rs
+++ b/crates/forwarder/src/journal/record.rs
@@ -94,6 +94,11 @@
         }
     }
 
+    /// Returns whether an attempt may have taken effect, those in flight included.
+    pub fn may_have_taken_effect(&self) -> bool {
+        self.possible_effect.is_some() || !self.attempts_in_flight.is_empty()
+    }
+
     /// Counts the attempts in flight as attempts that may have taken effect, because their outcomes are lost at a
     /// restart.
     pub fn assume_effect_of_attempts_in_flight(&mut self) {
--- a/crates/forwarder/src/journal/tests.rs
+++ b/crates/forwarder/src/journal/tests.rs
@@ -52,7 +52,7 @@
 }
 
 fn open_with_limit(dir: &TempDir, limit_bytes: u64) -> (Journal, Vec<StoredMessage>) {
-    Journal::open(dir.path(), limit_bytes).expect("the journal opens")
+    Journal::open(dir.path(), limit_bytes, StoredNames::default()).expect("the journal opens")
 }
 
 /// Guards against the loss of records when the process is killed during a write, which can cut the segment off at any
--- a/crates/forwarder/src/startup.rs
+++ b/crates/forwarder/src/startup.rs
@@ -11,7 +11,7 @@
 use crate::endpoint_list::{EndpointListWatch, EndpointTable};
 use crate::endpoints::EndpointContext;
 use crate::gossip_socket;
-use crate::journal::Journal;
+use crate::journal::{Journal, StoredNames};
 use crate::platform::{AgentAddress, PlatformClient};
 use crate::protocol::EndpointListDocument;
 use crate::reload::{self, ReadConfig};
@@ -19,7 +19,7 @@
 use crate::startup_config::{GossipPeers, StartupConfig};
 use opalpulley::{Config, Micros};
 use opalpulley_config::Names;
-use slog::{error, info, Logger};
+use slog::{error, info, warn, Logger};
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -114,8 +114,10 @@
     let starter = ActorStarter::new(&startup, &senders.dispatcher, &log);
     let submission_service = starter.start_clients(senders.submissions, stage_receiver)?;
 
-    let (journal, recovered_messages) = Journal::open(&startup.state_dir, startup.journal_bytes)?;
-    starter.log_start(recovered_messages.len());
+    let names = StoredNames::new(&startup.settings.names, &startup.settings.config);
+    let (journal, recovered_messages) =
+        Journal::open(&startup.state_dir, startup.journal_bytes, names)?;
+    starter.log_start(recovered_messages.len(), journal.failed_count());
     let handles = ActorHandles {
         context: starter.endpoint_context(),
         list_watch: senders.endpoint_list,
@@ -211,8 +213,12 @@
         Ok(submission_service)
     }
 
-    fn log_start(&self, recovered_messages: usize) {
+    fn log_start(&self, recovered_messages: usize, failed_messages: usize) {
         let startup = self.startup;
+        if failed_messages > 0 {
+            warn!(self.log, "messages of a previous run failed: their delivery class has changed in the settings";
+                "messages" => failed_messages);
+        }
         info!(self.log, "forwarder started"; "name" => &startup.name, "messages" => recovered_messages,
             "listen" => %startup.listen, "discovery" => %startup.discovery);
     }
--- a/crates/forwarder/tests/program/main.rs
+++ b/crates/forwarder/tests/program/main.rs
@@ -4,6 +4,7 @@
 mod common;
 
 mod calls_out;
+mod changed_settings;
 mod configuration;
 mod connections;
 mod endpoint_list;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,3 +25,4 @@
 pub use model::*;
 pub use policy::list_confirmation;
 pub use policy::list_polling::MAX_POLL_SILENCE;
+pub use policy::recovery;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -16,6 +16,7 @@
 pub mod ordering;
 pub mod outlier;
 pub mod pacing;
+pub mod recovery;
 pub mod retry;
 pub mod selection;
 pub mod slow_start;
