--- a/crates/forwarder/src/dispatcher/attempts.rs
+++ b/crates/forwarder/src/dispatcher/attempts.rs
@@ -181,10 +181,9 @@
         let Some(message) = self.unfinished_messages.get_mut(id) else {
             return;
         };
-        let is_this = |attempt: &OutstandingAttempt| attempt.attempt_index == attempt_index;
         let ended: Vec<OutstandingAttempt> = message
             .outstanding_attempts
-            .extract_if(.., |attempt| is_this(attempt))
+            .extract_if(.., |attempt| attempt.attempt_index == attempt_index)
             .collect();
         let is_journalled = ended.iter().all(|attempt| attempt.is_journalled);
         let serial = message.serial;
--- a/crates/forwarder/src/endpoint_list/watch/tests.rs
+++ b/crates/forwarder/src/endpoint_list/watch/tests.rs
@@ -3,7 +3,7 @@
 use super::*;
 use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 
 fn names() -> Names {
@@ -91,23 +91,45 @@
 }
 
 /// Writes a response with this body.
-async fn respond(stream: &mut tokio::net::TcpStream, body: &str) {
+async fn respond(stream: &mut TcpStream, body: &str) {
     write_response(stream, body)
         .await
         .expect("the response is written");
 }
 
 /// Writes a response with this body, unless the actor has closed the connection.
-async fn respond_if_open(stream: &mut tokio::net::TcpStream, body: &str) {
+async fn respond_if_open(stream: &mut TcpStream, body: &str) {
     let _ = write_response(stream, body).await;
 }
 
-async fn write_response(stream: &mut tokio::net::TcpStream, body: &str) -> std::io::Result<()> {
+async fn write_response(stream: &mut TcpStream, body: &str) -> std::io::Result<()> {
     let length = body.len();
     let response = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}");
     stream.write_all(response.as_bytes()).await
 }
 
+/// Starts an actor that polls an agent and has a cached list, and lets it poll. Returns the agent, the actor and the
+/// connection of the first poll, whose request has been read.
+async fn start_polling_with_cached_list() -> (TcpListener, TestFixture, TcpStream, String) {
+    let (agent, address) = bind_agent().await;
+    let mut table = EndpointTable::default();
+    table.restore(known_list(), &names());
+    let fixture = TestFixture::start(address, table, true, discard_log());
+    fixture.send(EndpointListCommand::StartWatch).await;
+    let (stream, request) = next_poll(&agent).await;
+    (agent, fixture, stream, request)
+}
+
+/// Accepts the next poll and reads its request.
+async fn next_poll(agent: &TcpListener) -> (TcpStream, String) {
+    let accepted = tokio::time::timeout(Duration::from_secs(5), agent.accept()).await;
+    let (mut stream, _) = accepted
+        .expect("the actor polls in time")
+        .expect("the connection is accepted");
+    let request = read_request_head(&mut stream).await;
+    (stream, request)
+}
+
 /// If discovery must be polled and a list is known, the first poll is a watch from the revision of this list. It is sent as
 /// soon as the core requests it. Repeating the command does not repeat the poll.
 #[tokio::test]
@@ -142,20 +164,14 @@
 /// answered at once, and confirms the cached list without changes. Later watches wait for changes.
 #[tokio::test]
 async fn unchanged_polled_list_is_confirmed_by_the_first_watch() {
-    let (agent, address) = bind_agent().await;
-    let mut table = EndpointTable::default();
-    let entries = table.restore(known_list(), &names());
-    let mut fixture = TestFixture::start(address, table, true, discard_log());
-    fixture.send(EndpointListCommand::StartWatch).await;
-    let (mut stream, _) = agent.accept().await.expect("the actor polls");
-    let first_request = read_request_head(&mut stream).await;
+    let (agent, mut fixture, mut stream, first_request) = start_polling_with_cached_list().await;
     assert!(first_request.contains("index=7&wait=0 "), "{first_request}");
     let unchanged = r#"{"revision":7,"complete":false,"members":[]}"#;
     respond(&mut stream, unchanged).await;
+    let entries = EndpointTable::default().restore(known_list(), &names());
     let confirmed = Event::EndpointListUpdated(EndpointListUpdate::Complete(entries));
     assert_eq!(fixture.next_event().await, confirmed);
-    let (mut stream, _) = agent.accept().await.expect("the actor polls again");
-    let second_request = read_request_head(&mut stream).await;
+    let (_stream, second_request) = next_poll(&agent).await;
     assert!(
         second_request.contains("index=7&wait=2000 "),
         "{second_request}"
@@ -166,19 +182,12 @@
 /// once as well.
 #[tokio::test]
 async fn watch_after_a_failed_poll_confirms_an_unchanged_polled_list() {
-    let (agent, address) = bind_agent().await;
-    let mut table = EndpointTable::default();
-    table.restore(known_list(), &names());
-    let mut fixture = TestFixture::start(address, table, true, discard_log());
-    fixture.send(EndpointListCommand::StartWatch).await;
-    let (mut stream, _) = agent.accept().await.expect("the actor polls");
-    read_request_head(&mut stream).await;
+    let (agent, mut fixture, stream, _) = start_polling_with_cached_list().await;
     drop(stream);
     let failed = Event::EndpointListUpdated(EndpointListUpdate::Failed);
     assert_eq!(fixture.next_event().await, failed);
     fixture.send(EndpointListCommand::StartWatch).await;
-    let (mut stream, _) = agent.accept().await.expect("the actor polls again");
-    let request = read_request_head(&mut stream).await;
+    let (_stream, request) = next_poll(&agent).await;
     assert!(request.contains("index=7&wait=0 "), "{request}");
 }
 
@@ -186,20 +195,11 @@
 /// have a lower revision than the cached list, so that they confirm nothing, and the complete list is fetched.
 #[tokio::test]
 async fn fetches_the_polled_list_if_discovery_counts_its_revisions_anew() {
-    let (agent, address) = bind_agent().await;
-    let mut table = EndpointTable::default();
-    table.restore(known_list(), &names());
-    let mut fixture = TestFixture::start(address, table, true, discard_log());
-    fixture.send(EndpointListCommand::StartWatch).await;
-    let (mut stream, _) = agent.accept().await.expect("the actor polls");
-    read_request_head(&mut stream).await;
+    let (agent, mut fixture, mut stream, _) = start_polling_with_cached_list().await;
     let lower_revision = r#"{"revision":3,"complete":false,"members":[]}"#;
     respond(&mut stream, lower_revision).await;
-    let next_poll = tokio::time::timeout(Duration::from_secs(1), agent.accept()).await;
-    let (mut stream, _) = next_poll
-        .expect("the next poll follows at once")
-        .expect("the actor polls again");
-    let request = read_request_head(&mut stream).await;
+    let next_poll = tokio::time::timeout(Duration::from_secs(1), next_poll(&agent)).await;
+    let (mut stream, request) = next_poll.expect("the next poll follows at once");
     assert!(request.starts_with("GET /discovery/hosts "), "{request}");
     let complete_list = known_list_text().replace("\"revision\":7", "\"revision\":3");
     respond(&mut stream, &complete_list).await;
@@ -294,7 +294,7 @@
 }
 
 /// Reads what the actor has sent, which is one request without a body.
-async fn read_request_head(stream: &mut tokio::net::TcpStream) -> String {
+async fn read_request_head(stream: &mut TcpStream) -> String {
     let mut head = vec![0; 4096];
     let read = stream
         .read(&mut head)
--- a/crates/forwarder/tests/program/outdated_list.rs
+++ b/crates/forwarder/tests/program/outdated_list.rs
@@ -160,30 +160,24 @@
 /// Leaves an unfinished message in the journal, replaces its endpoint while no process runs, and starts the second run with
 /// the list that the first one had. Both that message and a new one must reach the replacement alone.
 fn assert_outdated_list_is_not_used(config_text: &str) {
-    let FirstRun {
-        mut forwarder,
-        state,
-        old_member,
-        reused_address,
-        reused_log,
-        _folder,
-    } = FirstRun::start(config_text);
+    let mut first_run = FirstRun::start(config_text);
+    let reused_log = &first_run.reused_log;
     let (replacement, replacement_log) = endpoint_responding_with("200 OK");
-    kill_and_wait(&mut forwarder);
+    kill_and_wait(&mut first_run.forwarder);
 
     let discovery = discovery_with_changed_list([
-        member_named("taker", reused_address, 8, "Ready"),
+        member_named("taker", first_run.reused_address, 8, "Ready"),
         member_named("replacement", replacement, 7, "Ready"),
     ]);
-    let cached = endpoint_list(1, true, &[old_member]);
+    let cached = endpoint_list(1, true, &[first_run.old_member]);
     let config_text = with_further_keys(config_text, &format!("\"known\":{cached}"));
-    let forwarder = start(&state, &config_text, discovery);
+    let forwarder = start(&first_run.state, &config_text, discovery);
     assert_eq!(forwarder.submit("after", "notice"), 202);
     wait_until("both messages are sent", || {
-        call_count(&reused_log) + call_count(&replacement_log) >= 3
+        call_count(reused_log) + call_count(&replacement_log) >= 3
     });
     assert_eq!(
-        (call_count(&reused_log), call_count(&replacement_log)),
+        (call_count(reused_log), call_count(&replacement_log)),
         (1, 2),
         "calls at the reused address, one of them by the first run, and calls at the replacement"
     );
@@ -226,28 +220,22 @@
 /// journal holds an unfinished message. No message of destination 7 may reach the address again, and all of
 /// them must reach the replacement soon after the outage.
 fn assert_cached_list_is_withheld(config_text: &str, stop: Stop, outage: DiscoveryMode) {
-    let FirstRun {
-        mut forwarder,
-        state,
-        old_member,
-        reused_address,
-        reused_log,
-        _folder,
-    } = FirstRun::start(config_text);
+    let mut first_run = FirstRun::start(config_text);
+    let reused_log = &first_run.reused_log;
     let (replacement, replacement_log) = endpoint_responding_with("200 OK");
-    stop_and_wait(&mut forwarder, stop);
-    let calls_before = call_count(&reused_log);
+    stop_and_wait(&mut first_run.forwarder, stop);
+    let calls_before = call_count(reused_log);
 
     let new_members = [
-        member_named("taker", reused_address, 8, "Ready"),
+        member_named("taker", first_run.reused_address, 8, "Ready"),
         member_named("replacement", replacement, 7, "Ready"),
     ];
-    let removed = old_member.replace("Ready", "Gone");
+    let removed = first_run.old_member.replace("Ready", "Gone");
     let discovery = Discovery::start(outage, new_members, removed);
-    let cached = endpoint_list(1, true, &[old_member]);
+    let cached = endpoint_list(1, true, &[first_run.old_member]);
     let config_text = with_further_keys(config_text, &format!("\"known\":{cached}"));
     let started_at = Instant::now();
-    let forwarder = start(&state, &config_text, discovery.address);
+    let forwarder = start(&first_run.state, &config_text, discovery.address);
     assert_eq!(forwarder.submit("after", "notice"), 202);
     let accepted_after = started_at.elapsed();
     assert!(
@@ -274,7 +262,7 @@
         sent_after < sent_within,
         "expected all messages to be sent within {sent_within:?} of the outage, took {sent_after:?}"
     );
-    let calls_after = call_count(&reused_log) - calls_before;
+    let calls_after = call_count(reused_log) - calls_before;
     assert_eq!(
         calls_after, 0,
         "calls of the second run at the reused address"
