Clients: an accept that fails for one connection no longer holds up the others

Cause: the listener slept for 20 ms after each failed accept, whatever the error, and its loop with it. At the close of the listener the first error ended the taking over of the backlog. Linux passes errors of one connection on as errors of accept.

Change: clients/accept_errors.rs tells them apart. The next connection is accepted at once; only want of descriptors or memory, and 64 errors in a row, lead to the pause, in which ended connections and the shutdown are attended to.

Tests: tests/failing_accept.rs plays the real program with a preloaded library of 20 lines, compiled by the C compiler that links Rust programs.

--- a/crates/forwarder/src/clients.rs
+++ b/crates/forwarder/src/clients.rs
@@ -1,6 +1,7 @@
 //! The server side of the forwarder towards its clients: the listener, the client connections, and the tower service
 //! that answers the requests on them.
 
+mod accept_errors;
 mod body_budget;
 mod client_stream;
 mod connection;
