--- a/crates/forwarder/tests/common/mod.rs
+++ b/crates/forwarder/tests/common/mod.rs
@@ -6,6 +6,7 @@
 use opalpulley_lab::scripted;
 pub use opalpulley_lab::scripted::*;
 use std::net::{SocketAddr, TcpListener};
+use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::time::Duration;
@@ -111,6 +112,13 @@
     lines
 }
 
+/// Writes a script that can be run in place of the program.
+pub fn write_script(path: &Path, text: &str) {
+    std::fs::write(path, text).expect("the script is written");
+    std::fs::set_permissions(path, PermissionsExt::from_mode(0o755))
+        .expect("the script is made executable");
+}
+
 /// Blocks the thread for `duration_ms` milliseconds.
 pub fn sleep_ms(duration_ms: u64) {
     std::thread::sleep(Duration::from_millis(duration_ms));
--- a/crates/forwarder/tests/descriptors.rs
+++ b/crates/forwarder/tests/descriptors.rs
@@ -5,7 +5,6 @@
 use common::*;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
-use std::os::unix::fs::PermissionsExt;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -39,9 +38,7 @@
         "#!/bin/sh\nulimit -n {DESCRIPTOR_LIMIT}\nexec {PROGRAM} 2> {}\n",
         log.display()
     );
-    std::fs::write(&script, script_text).expect("the write succeeds");
-    std::fs::set_permissions(&script, PermissionsExt::from_mode(0o755))
-        .expect("the script is made executable");
+    write_script(&script, &script_text);
     opalpulley_lab::scripted::start(
         script.to_str().expect("the path is UTF-8"),
         state,
--- a/crates/forwarder/tests/failing_accept.rs
+++ b/crates/forwarder/tests/failing_accept.rs
@@ -3,7 +3,6 @@
 mod common;
 
 use common::*;
-use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::thread;
@@ -44,9 +43,7 @@
         "#!/bin/sh\nACCEPT_ERRNO={error} LD_PRELOAD={} exec {PROGRAM}\n",
         library.display()
     );
-    std::fs::write(&script, text).expect("the script is written");
-    std::fs::set_permissions(&script, PermissionsExt::from_mode(0o755))
-        .expect("the script is made executable");
+    write_script(&script, &text);
     script
 }
 
